--- a/cmd/drill/settings.go
+++ b/cmd/drill/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"olivestile/decide"
+	"quillrail/decide"
 )
 
 // bootInfo is the part of the start message that the module acts on; other keys are disregarded.
--- a/cmd/drill/wire.go
+++ b/cmd/drill/wire.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"olivestile/decide"
+	"quillrail/decide"
 )
 
 // session is one conversation with the simulator.
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"olivestile/decide"
+	"quillrail/decide"
 )
 
 // gateway embeds the interface, so that it need only carry out what this example meets.
