--- a/cmd/drill/wire.go
+++ b/cmd/drill/wire.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"quillrail/decide"
+	"quillrail/internal/lifecycle/settings"
 )
 
 // session is one conversation with the simulator.
@@ -273,12 +274,12 @@
 	if err != nil {
 		return fmt.Errorf("open_instance: prng is not a seed: %s", seedText)
 	}
-	set, err := settings(info)
+	site, err := settings.Parse([]byte(info))
 	if err != nil {
 		return fmt.Errorf("open_instance: boot-info: %w", err)
 	}
 	in := &instance{id: id, s: s}
-	if in.router, err = decide.New(set, seed, in); err != nil {
+	if in.router, err = decide.New(site.Decide, seed, in); err != nil {
 		return err
 	}
 	s.routers[id] = in
--- /dev/null
+++ b/internal/core/api.go
@@ -0,0 +1,80 @@
+package core
+
+import (
+	"time"
+
+	"quillrail/decide"
+)
+
+// Call is one request as a front has read it. Its indices and its function have been checked.
+type Call struct {
+	ID            string // as the client wrote it, passed on unchanged
+	Class, Tenant int
+	ClassName     string
+	Function      string
+	Key           string // idempotency key, empty where the class has none
+	Wait          time.Duration
+	Work          time.Duration // hints, 0 where not told
+	MemoryMB      float64
+	Lanes         int
+	LoadTime      time.Duration
+	Repeat        bool
+	Body          []byte
+	Reply         Reply
+}
+
+// Reply takes the one final answer of a Call. It is called on the turn.
+type Reply interface {
+	Served(body []byte)
+	Refused(pause time.Duration) // trying again is harmless
+	Failed(why Failure)
+}
+
+// Failure tells a front how to word an answer that promises nothing.
+type Failure int
+
+// The failures.
+const (
+	Broken Failure = iota // the module gave up
+	TimedOut
+	Overloaded // the tables are full
+)
+
+// Attempt is one sending of a Call to a worker.
+type Attempt struct {
+	Ref    Ref
+	Host   string
+	Call   *Call
+	Budget time.Duration // how long the gateway will wait
+}
+
+// Workers is the link to the workers. Its methods are called on the turn; ends come back through
+// Core.Ended and Core.Loaded, also from within a call: the core queues them until the module has returned.
+type Workers interface {
+	Send(a Attempt)
+	Cancel(host string, attempt Ref) // the attempt is given up: nothing more is said of it
+	Load(order Ref, host, function string, copies int)
+	Forget(host string, order Ref) // nobody waits for the order any more; it stands
+	Unload(host, function string)
+	Release(host string)
+	List(whole bool, members []Member)
+}
+
+// Member is an entry of the list of workers and where it listens.
+type Member struct {
+	decide.Host
+	Addr string
+}
+
+// Record is what is known of a request when it has its final answer.
+type Record struct {
+	Call     *Call
+	Start    time.Duration
+	End      time.Duration
+	Answer   string // served, refused, failed, gone
+	Attempts int
+	Host     string // of the attempt that was served, else of the last
+}
+
+// Observer is told of every request that ends, on the turn. It must not block.
+type Observer func(Record)
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,284 @@
+package core
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"quillrail/decide"
+)
+
+const (
+	maxRequests = 8192                  // open at once; further ones are refused
+	maxOrders   = 1024                  // orders to load that wait for their end
+	backstop    = 12 * time.Millisecond // past its deadline, a request that the module left open is failed
+)
+
+// Core carries out what the module decides. It owns the tables of requests, attempts and orders.
+type Core struct {
+	loop     *Loop
+	log      *zap.Logger
+	router   *decide.Router
+	workers  Workers
+	observe  Observer
+	maxPause time.Duration
+	timeout  time.Duration // of orders
+
+	requests *Table[*request]
+	attempts *Table[*attempt]
+	orders   *Table[*order]
+
+	queue  []decide.Event // events raised while the module handles one
+	inside bool
+}
+
+type request struct {
+	ref      Ref
+	call     Call
+	start    time.Duration
+	deadline time.Duration
+	over     *Deadline
+	shots    []Ref // attempts by number
+	last     string
+}
+
+type attempt struct {
+	ref  Ref
+	req  Ref
+	shot int
+	host string
+	at   time.Duration
+	over *Deadline
+}
+
+type order struct {
+	host, function string
+	at             time.Duration
+	over           *Deadline
+}
+
+// New returns a Core on loop. observe may be nil.
+func New(loop *Loop, set decide.Settings, seed uint64, workers Workers, observe Observer, log *zap.Logger) (*Core, error) {
+	c := &Core{loop: loop, log: log, workers: workers, observe: observe, maxPause: set.MaxRetryAfter,
+		timeout: set.OrderTimeout, requests: NewTable[*request](maxRequests),
+		attempts: NewTable[*attempt](maxRequests * max(1, set.MaxAttempts)), orders: NewTable[*order](maxOrders)}
+	c.inside = true
+	var err error
+	c.router, err = decide.New(set, seed, (*gateway)(c))
+	c.inside = false
+	return c, err
+}
+
+// handle feeds the module one event, and then those that carrying out its decisions has raised.
+func (c *Core) handle(ev decide.Event) {
+	c.queue = append(c.queue, ev)
+	if c.inside {
+		return
+	}
+	c.inside = true
+	for i := 0; i < len(c.queue); i++ {
+		c.router.Handle(c.loop.Now(), c.queue[i])
+	}
+	clear(c.queue)
+	c.queue, c.inside = c.queue[:0], false
+}
+
+// Open is the number of requests that have no final answer yet.
+func (c *Core) Open() int { return c.requests.Len() }
+
+// List passes on what the bulletin says of the workers.
+func (c *Core) List(whole bool, members []Member) {
+	c.workers.List(whole, members)
+	ev := decide.List{Whole: whole}
+	for _, m := range members {
+		ev.Hosts = append(ev.Hosts, m.Host)
+	}
+	c.handle(ev)
+}
+
+// Take takes in a request. The Ref it returns is zero when the request was answered at once.
+func (c *Core) Take(call Call) Ref {
+	r := &request{call: call, start: c.loop.Now(), deadline: c.loop.Now() + call.Wait}
+	ref, ok := c.requests.Put(r)
+	if !ok {
+		call.Reply.Refused(0)
+		return 0
+	}
+	r.ref = ref
+	r.over = c.loop.Set(r.deadline+backstop, func() { c.expire(r) })
+	c.handle(decide.Arrival{ID: uint64(ref), Class: call.Class, Tenant: call.Tenant, Function: call.Function,
+		TTL: call.Wait, Work: call.Work, MemoryMB: call.MemoryMB, Lanes: call.Lanes, LoadTime: call.LoadTime,
+		Repeat: call.Repeat})
+	if _, open := c.requests.Get(ref); !open {
+		return 0
+	}
+	return ref
+}
+
+// Gone says that nobody waits for a request any more.
+func (c *Core) Gone(ref Ref) {
+	if r, ok := c.requests.Get(ref); ok {
+		c.close(r, "gone")
+		c.handle(decide.ClientGone{ID: uint64(ref)})
+	}
+}
+
+// expire is the last guard on the rule that each request has its answer in time.
+func (c *Core) expire(r *request) {
+	c.log.Error("request left open past its deadline", zap.String("id", r.call.ID), zap.Int("attempts", len(r.shots)))
+	c.close(r, "failed")
+	r.call.Reply.Failed(TimedOut)
+	c.handle(decide.ClientGone{ID: uint64(r.ref)})
+}
+
+// FailAll gives every open request its final answer, before the process ends.
+func (c *Core) FailAll() {
+	c.requests.Each(func(_ Ref, r *request) {
+		c.close(r, "failed")
+		r.call.Reply.Failed(TimedOut)
+		c.handle(decide.ClientGone{ID: uint64(r.ref)})
+	})
+}
+
+func (c *Core) close(r *request, answer string) {
+	c.loop.Cancel(r.over)
+	c.requests.Free(r.ref)
+	if c.observe != nil {
+		c.observe(Record{Call: &r.call, Start: r.start, End: c.loop.Now(), Answer: answer, Attempts: len(r.shots),
+			Host: r.last})
+	}
+}
+
+// Ended says how an attempt has ended. A second end, or one after the attempt was given up, finds no slot
+// and is dropped.
+func (c *Core) Ended(ref Ref, how decide.Outcome, note decide.Note, body []byte) {
+	a, ok := c.attempts.Get(ref)
+	if !ok {
+		return
+	}
+	c.loop.Cancel(a.over)
+	c.attempts.Free(ref)
+	r, open := c.requests.Get(a.req)
+	if open && how == decide.Good {
+		r.last = a.host
+		c.close(r, "served")
+		r.call.Reply.Served(body)
+		open = false
+	}
+	c.handle(decide.Result{ID: uint64(a.req), Shot: a.shot, Host: a.host, Outcome: how,
+		Took: c.loop.Now() - a.at, Final: !open, Note: note, Crowd: -1})
+}
+
+// Loaded says how an order to load has ended.
+func (c *Core) Loaded(ref Ref, how decide.Outcome, copies int) {
+	o, ok := c.orders.Get(ref)
+	if !ok {
+		return
+	}
+	c.loop.Cancel(o.over)
+	c.orders.Free(ref)
+	c.handle(decide.Loaded{Host: o.host, Function: o.function, Outcome: how, Took: c.loop.Now() - o.at, Copies: copies})
+}
+
+// gateway is the side of Core that the module sees.
+type gateway Core
+
+func (g *gateway) Route(id uint64, host string, expireAt time.Duration) {
+	c := (*Core)(g)
+	r, open := c.requests.Get(Ref(id))
+	if !open { // the module is told that nothing was sent
+		c.handle(decide.Result{ID: id, Host: host, Outcome: decide.Nop, Final: true, Crowd: -1})
+		return
+	}
+	if expireAt <= 0 || expireAt > r.deadline {
+		expireAt = r.deadline
+	}
+	a := &attempt{req: r.ref, shot: len(r.shots), host: host, at: c.loop.Now()}
+	ref, ok := c.attempts.Put(a)
+	r.shots, r.last = append(r.shots, ref), host
+	if !ok || expireAt <= c.loop.Now() {
+		c.attempts.Free(ref)
+		c.handle(decide.Result{ID: id, Shot: a.shot, Host: host, Outcome: decide.Nop, Crowd: -1})
+		return
+	}
+	a.ref = ref
+	a.over = c.loop.Set(expireAt, func() { c.giveUp(a, decide.Late) })
+	c.workers.Send(Attempt{Ref: ref, Host: host, Call: &r.call, Budget: expireAt - c.loop.Now()})
+}
+
+func (c *Core) giveUp(a *attempt, how decide.Outcome) {
+	c.workers.Cancel(a.host, a.ref)
+	c.Ended(a.ref, how, decide.NoNote, nil)
+}
+
+func (g *gateway) Retract(id uint64, shot int) {
+	c := (*Core)(g)
+	var found *attempt
+	if r, ok := c.requests.Get(Ref(id)); ok {
+		if shot >= 0 && shot < len(r.shots) {
+			found, _ = c.attempts.Get(r.shots[shot])
+		}
+	} else { // the request has ended: its attempts are few, and this is off the common path
+		c.attempts.Each(func(_ Ref, a *attempt) {
+			if a.req == Ref(id) && a.shot == shot {
+				found = a
+			}
+		})
+	}
+	if found != nil {
+		c.giveUp(found, decide.Cancelled)
+	}
+}
+
+func (g *gateway) Refuse(id uint64, pause time.Duration) {
+	c := (*Core)(g)
+	if r, ok := c.requests.Get(Ref(id)); ok {
+		c.close(r, "refused")
+		r.call.Reply.Refused(min(max(0, pause), c.maxPause))
+	}
+}
+
+func (g *gateway) Lose(id uint64) {
+	c := (*Core)(g)
+	if r, ok := c.requests.Get(Ref(id)); ok {
+		c.close(r, "failed")
+		why := Broken
+		if c.loop.Now() >= r.deadline {
+			why = TimedOut
+		}
+		r.call.Reply.Failed(why)
+	}
+}
+
+func (g *gateway) Order(host, function string, copies int) {
+	c := (*Core)(g)
+	o := &order{host: host, function: function, at: c.loop.Now()}
+	ref, ok := c.orders.Put(o)
+	if !ok {
+		c.handle(decide.Loaded{Host: host, Function: function, Outcome: decide.Late})
+		return
+	}
+	o.over = c.loop.After(c.timeout, func() {
+		c.workers.Forget(host, ref)
+		c.Loaded(ref, decide.Late, 0)
+	})
+	c.workers.Load(ref, host, function, copies)
+}
+
+func (g *gateway) Shelve(host, function string) { g.workers.Unload(host, function) }
+func (g *gateway) Release(host string)          { g.workers.Release(host) }
+func (g *gateway) WakeAt(after time.Duration, token string) {
+	c := (*Core)(g)
+	c.loop.After(after, func() { c.handle(decide.Wake{Token: token}) })
+}
+func (g *gateway) Log(text string) { g.log.Info("module: " + text) }
+
+// The site allows no probes and no talk among gateways, and the bulletin comes by itself.
+func (g *gateway) Probe(host string) {
+	g.log.Error("module asked for a probe", zap.String("worker", host))
+}
+func (g *gateway) Tell(peer int, content []byte) {
+	g.log.Error("module would talk to a gateway", zap.Int("peer", peer))
+}
+func (g *gateway) Watch(on bool) {}
+func (g *gateway) Lookup()       {}
--- /dev/null
+++ b/internal/lifecycle/config.go
@@ -0,0 +1,105 @@
+// Package lifecycle starts and stops a gateway: its configuration, the order in which its parts come up, what
+// SIGTERM does.
+package lifecycle
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"quillrail/internal/lifecycle/settings"
+	"quillrail/internal/wire/bulletin"
+)
+
+// Config is all that a gateway is told.
+type Config struct {
+	Name     string
+	Listen   string
+	Seed     uint64
+	Cores    float64
+	MemoryMB int
+	Sockets  int
+	Bulletin string
+	Last     uint64
+	Known    []bulletin.Event
+	Site     *settings.Site
+}
+
+type configFile struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Seed   string `json:"seed"`
+	Limits struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Bulletin string          `json:"bulletin"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// FromEnv reads the configuration that the platform names in the environment.
+func FromEnv() (*Config, error) {
+	path := os.Getenv("NODE_CONFIG")
+	if path == "" {
+		return nil, errors.New("NODE_CONFIG names no file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c, err := ParseConfig(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if name := os.Getenv("NODE_NAME"); name != "" {
+		c.Name = name
+	}
+	if listen := os.Getenv("NODE_LISTEN"); listen != "" {
+		c.Listen = listen
+	}
+	return c, c.check()
+}
+
+// ParseConfig reads a configuration.
+func ParseConfig(text []byte) (*Config, error) {
+	var f configFile
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, err
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("seed %q is not 16 hex digits", f.Seed)
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Seed: seed, Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
+		Sockets: f.Limits.Sockets, Bulletin: f.Bulletin}
+	if c.Site, err = settings.Parse(f.Settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if c.Last, c.Known, err = bulletin.ParseKnown(f.Known, c.Site); err != nil {
+		return nil, fmt.Errorf("known: %w", err)
+	}
+	return c, nil
+}
+
+func (c *Config) check() error {
+	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if _, _, err := net.SplitHostPort(c.Bulletin); err != nil {
+		return fmt.Errorf("bulletin: %w", err)
+	}
+	if c.Sockets < 64 || c.MemoryMB < 32 {
+		return fmt.Errorf("limits: %d sockets and %d MB are too few", c.Sockets, c.MemoryMB)
+	}
+	s := c.Site
+	if s.ConnectTimeout <= 0 || s.ConnIdle <= 0 || s.Streams < 1 {
+		return fmt.Errorf("settings: connect-timeout-s %v, conn-idle-s %v, streams-per-conn %d", s.ConnectTimeout,
+			s.ConnIdle, s.Streams)
+	}
+	return nil
+}
--- a/cmd/drill/settings.go
+++ b/internal/lifecycle/settings/settings.go
@@ -1,8 +1,12 @@
-package main
+// Package settings reads the object that tells a gateway its site: from the simulator's first message or from
+// the configuration of a real gateway, both in the same words.
+package settings
 
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"slices"
 	"time"
 
 	"quillrail/decide"
@@ -10,11 +14,14 @@
 
 // bootInfo is the part of the start message that the module acts on; other keys are disregarded.
 type bootInfo struct {
-	Balancers int `json:"balancers"`
+	Zones     []string `json:"azs"`
+	Kinds     []string `json:"kinds"`
+	Balancers int      `json:"balancers"`
 	Classes   []struct {
 		Credit    float64 `json:"credit"`
 		Deadline  float64 `json:"deadline-s"`
 		Effect    string  `json:"effect"`
+		Name      string  `json:"name"`
 		KeyScope  string  `json:"key-scope"`
 		LateWorth float64 `json:"late-worth"`
 		Promise   float64 `json:"promise-s"`
@@ -30,6 +37,7 @@
 		Fall         float64 `json:"fall-s"`
 	} `json:"contract"`
 	Customers []struct {
+		Name   string  `json:"name"`
 		Share  float64 `json:"share"`
 		PerSec float64 `json:"allowance-per-s"`
 	} `json:"customers"`
@@ -53,6 +61,9 @@
 		Probing       bool    `json:"probing"`
 		RetryAfter    bool    `json:"retry-after"`
 		TryLimit      int     `json:"try-limit"`
+		ConnIdle      float64 `json:"conn-idle-s"`
+		Connect       float64 `json:"connect-timeout-s"`
+		Streams       int     `json:"streams-per-conn"`
 	} `json:"policy-limits"`
 	Slot int `json:"slot-no"`
 	Zone int `json:"zone"`
@@ -63,24 +74,41 @@
 var scopes = map[string]decide.Scope{"": decide.AllWorkers, "all": decide.AllWorkers, "zone": decide.SameZone,
 	"cell": decide.SameCell}
 
-// settings reads the start message into the module's terms.
-func settings(text string) (decide.Settings, error) {
+// Site is the module's settings and what the fronts and links need besides.
+type Site struct {
+	Decide  decide.Settings
+	Classes []string
+	Tenants []string
+	Zones   []string
+	Kinds   []string
+
+	ConnIdle       time.Duration // an idle connection to a worker is closed after
+	ConnectTimeout time.Duration // a connection not up by then has failed
+	Streams        int           // attempts that one connection carries at once
+}
+
+// Parse reads the settings.
+func Parse(text []byte) (*Site, error) {
 	var b bootInfo
-	var s decide.Settings
-	if err := json.Unmarshal([]byte(text), &b); err != nil {
-		return s, err
+	if err := json.Unmarshal(text, &b); err != nil {
+		return nil, err
 	}
+	site := &Site{Zones: b.Zones, Kinds: b.Kinds, ConnIdle: seconds(b.Limits.ConnIdle),
+		ConnectTimeout: seconds(b.Limits.Connect), Streams: b.Limits.Streams}
+	s := &site.Decide
 	for i, c := range b.Classes {
+		site.Classes = append(site.Classes, c.Name)
 		effect, ok := effects[c.Effect]
 		group, ok2 := scopes[c.KeyScope]
 		if !ok || !ok2 {
-			return s, fmt.Errorf("class %d: effect %q or key-scope %q is unknown", i, c.Effect, c.KeyScope)
+			return nil, fmt.Errorf("class %d: effect %q or key-scope %q is unknown", i, c.Effect, c.KeyScope)
 		}
 		s.Classes = append(s.Classes, decide.Class{Aim: seconds(c.Promise), Deadline: seconds(c.Deadline),
 			Worth: c.Credit, LateWorth: c.LateWorth, Effect: effect, Group: group, Window: seconds(c.Window),
 			Streaming: c.Streaming})
 	}
 	for _, t := range b.Customers {
+		site.Tenants = append(site.Tenants, t.Name)
 		s.Tenants = append(s.Tenants, decide.Tenant{Share: t.Share, PerSec: t.PerSec})
 	}
 	s.Self = b.Slot
@@ -100,5 +128,47 @@
 	s.MarksCold, s.TellsCrowd, s.FreeOrders = f.MarksCold, f.TellsCrowd, f.FreeLoads
 	s.OrderShare, s.OrderWindow = f.LoadShare, seconds(f.LoadPeriod)
 	s.OrderTimeout = time.Duration(f.OrderLimit * float64(time.Second))
-	return s, nil
+	return site, nil
+}
+
+func seconds(x float64) time.Duration { return time.Duration(math.Round(x*1e6)) * time.Microsecond }
+
+// Class returns the index of a class.
+func (s *Site) Class(name string) (int, bool) { return index(s.Classes, name) }
+
+// Tenant returns the index of a tenant. A site without tenants takes any name as its one.
+func (s *Site) Tenant(name string) (int, bool) {
+	if len(s.Tenants) == 0 {
+		return 0, true
+	}
+	return index(s.Tenants, name)
+}
+
+// Keyed reports whether calls of a class carry an idempotency key.
+func (s *Site) Keyed(class int) bool { return s.Decide.Classes[class].Effect == decide.Keyed }
+
+func index(list []string, name string) (int, bool) {
+	i := slices.Index(list, name)
+	return max(0, i), i >= 0 && name != ""
+}
+
+// Hex16 reports whether s is 16 lower-case hex digits, as functions and request ids are.
+func Hex16(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return len(s) == 16
+}
+
+// Word reports whether s may stand as a value on the lines spoken to workers: printable, at most so long, and
+// without blanks, commas and equals signs, which would read as something else there.
+func Word(s string, most int) bool {
+	for i := range len(s) {
+		if c := s[i]; c <= ' ' || c >= 0x7f || c == ',' || c == '=' {
+			return false
+		}
+	}
+	return len(s) <= most
 }
--- /dev/null
+++ b/internal/wire/bulletin/feed.go
@@ -0,0 +1,147 @@
+package bulletin
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"quillrail/internal/core"
+	"quillrail/internal/lifecycle/settings"
+	"quillrail/internal/wire/sock"
+)
+
+const (
+	connectLimit = 500 * time.Millisecond
+	silence      = 2500 * time.Millisecond // frames come each second: past this the connection is dead
+	retryFirst   = 50 * time.Millisecond   // an event counts as told 7 s after it was published, come or not
+	retryMost    = 500 * time.Millisecond
+)
+
+// Dialer opens connections.
+type Dialer interface {
+	Dial(addr string, timeout time.Duration, h sock.Handler, done func(sock.Conn, error))
+}
+
+// Feed follows the bulletin from the last event it has, over as many connections as it takes. It belongs to
+// the turn.
+type Feed struct {
+	loop *core.Loop
+	net  Dialer
+	addr string
+	site *settings.Site
+	tell func(whole bool, members []core.Member)
+	log  *zap.Logger
+
+	last    uint64
+	try     uint64 // counts connections, against late callbacks
+	conn    sock.Conn
+	watch   *core.Deadline
+	backoff time.Duration
+	lost    time.Duration // when the feed was lost, 0 while it runs
+}
+
+// NewFeed returns a feed that tells the changes of the list after event last.
+func NewFeed(loop *core.Loop, net Dialer, addr string, site *settings.Site, last uint64,
+	tell func(bool, []core.Member), log *zap.Logger) *Feed {
+	return &Feed{loop: loop, net: net, addr: addr, site: site, last: last, tell: tell, log: log, backoff: retryFirst}
+}
+
+// Last is the number of the last event taken.
+func (f *Feed) Last() uint64 { return f.last }
+
+// Connect begins to follow.
+func (f *Feed) Connect() {
+	f.try++
+	try := f.try
+	f.watch = f.loop.After(connectLimit, func() { f.fail(try, errors.New("connect timed out")) })
+	f.net.Dial(f.addr, connectLimit, &reader{f: f, try: try, parser: Parser{Site: f.site}}, func(s sock.Conn, err error) {
+		f.loop.Post(func() { f.up(try, s, err) })
+	})
+}
+
+type reader struct {
+	f      *Feed
+	try    uint64
+	parser Parser
+}
+
+func (r *reader) Data(b []byte) error {
+	var got []Event
+	err := r.parser.Feed(b, func(e Event) { got = append(got, e) })
+	r.f.loop.Post(func() { r.f.take(r.try, got, err) })
+	return err
+}
+
+func (r *reader) Closed(err error) {
+	r.f.loop.Post(func() { r.f.fail(r.try, err) })
+}
+
+func (f *Feed) up(try uint64, s sock.Conn, err error) {
+	if try != f.try || f.conn != nil {
+		if s != nil {
+			s.Close()
+		}
+		return
+	}
+	if err != nil {
+		f.fail(try, err)
+		return
+	}
+	f.conn = s
+	f.alive(try)
+	if _, err := s.Write(binary.BigEndian.AppendUint64(nil, f.last)); err != nil {
+		f.fail(try, err)
+	}
+}
+
+func (f *Feed) alive(try uint64) {
+	f.loop.Cancel(f.watch)
+	f.watch = f.loop.After(silence, func() { f.fail(try, errors.New("silent")) })
+}
+
+func (f *Feed) take(try uint64, got []Event, err error) {
+	if try != f.try {
+		return
+	}
+	f.alive(try)
+	for _, e := range got {
+		if f.lost != 0 {
+			f.log.Info("bulletin is back", zap.Duration("after", f.loop.Now()-f.lost), zap.Uint64("last", f.last))
+			f.lost = 0
+		}
+		f.backoff = retryFirst
+		switch {
+		case e.Nothing || e.No <= f.last: // also what was told before
+			continue
+		case e.No != f.last+1 && !e.Whole:
+			f.fail(try, fmt.Errorf("event %d after %d", e.No, f.last))
+			return
+		}
+		f.last = e.No
+		f.tell(e.Whole, e.Members)
+	}
+	if err != nil {
+		f.fail(try, err)
+	}
+}
+
+func (f *Feed) fail(try uint64, why error) {
+	if try != f.try {
+		return
+	}
+	if f.lost == 0 {
+		f.lost = f.loop.Now()
+		f.log.Warn("bulletin lost", zap.Uint64("last", f.last), zap.Error(why))
+	}
+	f.try++ // whatever comes of this connection is too late
+	f.loop.Cancel(f.watch)
+	if f.conn != nil {
+		f.conn.Close()
+		f.conn = nil
+	}
+	f.loop.After(f.backoff, f.Connect)
+	f.backoff = min(2*f.backoff, retryMost)
+}
--- /dev/null
+++ b/internal/wire/sock/sock.go
@@ -0,0 +1,134 @@
+// Package sock is the project's hold on nbio: connections that hand what they read to a Handler. Every
+// callback runs on an I/O goroutine and must only parse and post.
+package sock
+
+import (
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+	"go.uber.org/zap"
+)
+
+// Conn is what the rest of the program needs of a connection. Write never blocks: what the peer does not
+// take yet is kept, within a bound; past it the connection is closed.
+type Conn interface {
+	Write([]byte) (int, error)
+	Close() error
+}
+
+// Handler takes what a connection reads. An error from Data closes the connection. Closed is called once.
+type Handler interface {
+	Data(b []byte) error
+	Closed(err error)
+}
+
+const (
+	readBuffer  = 32 << 10
+	writeBuffer = 1 << 20 // most that is kept for a peer that does not read
+)
+
+// Net runs the sockets of one listener and of any number of dialled connections.
+type Net struct {
+	engine *nbio.Engine
+	open   atomic.Int64
+}
+
+// Listen starts an engine. With an address, accepted connections go to accept, which must not close them yet;
+// with none the engine only dials. sockets is the limit on descriptors.
+func Listen(addr string, sockets int, accept func(Conn) Handler, log *zap.Logger) (*Net, error) {
+	logging.SetLogger(quiet{log.Named("nbio").Sugar()})
+	nbio.MaxOpenFiles = max(1024, 2*sockets) // nbio keeps an array of so many; its default takes 16 MB
+	conf := nbio.Config{Name: "quillrail", Network: "tcp", NPoller: 1, ReadBufferSize: readBuffer,
+		MaxWriteBufferSize: writeBuffer}
+	if addr != "" {
+		conf.Addrs = []string{addr}
+	}
+	n := &Net{engine: nbio.NewEngine(conf)}
+	n.engine.OnOpen(func(c *nbio.Conn) {
+		if _, ours := c.Session().(dialled); ours {
+			return
+		}
+		n.open.Add(1)
+		c.SetSession(accept(c))
+	})
+	n.engine.OnData(func(c *nbio.Conn, b []byte) {
+		if h, ok := c.Session().(Handler); ok {
+			if err := h.Data(b); err != nil {
+				c.CloseWithError(err)
+			}
+		}
+	})
+	n.engine.OnClose(func(c *nbio.Conn, err error) {
+		n.open.Add(-1)
+		if h, ok := c.Session().(Handler); ok {
+			h.Closed(err)
+		}
+	})
+	// Without a pause nbio would spin when accepting fails for want of descriptors.
+	n.engine.OnAcceptError(func(err error) {
+		if !errors.Is(err, net.ErrClosed) {
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+	return n, n.engine.Start()
+}
+
+// Addr is where the engine listens.
+func (n *Net) Addr() string {
+	if len(n.engine.Addrs) == 0 {
+		return ""
+	}
+	return n.engine.Addrs[0]
+}
+
+// Open is the number of connections that hold a descriptor.
+func (n *Net) Open() int { return int(n.open.Load()) }
+
+// Dial opens a connection whose bytes go to h. done is called once, with the connection or with an error, on a
+// goroutine of its own; h may be told of the end before that.
+//
+// The connect is the standard library's, since nbio 1.6.8 takes the first four bytes of a 16-byte address and so
+// connects to 0.0.0.0, and reports a refused connect as done; from then on the socket is nbio's.
+func (n *Net) Dial(addr string, timeout time.Duration, h Handler, done func(Conn, error)) {
+	n.open.Add(1)
+	go func() {
+		std, err := net.DialTimeout("tcp", addr, timeout)
+		if err != nil {
+			n.open.Add(-1)
+			done(nil, err)
+			return
+		}
+		c, err := nbio.NBConn(std) // takes a copy of the descriptor and closes std
+		if err != nil {
+			std.Close()
+			n.open.Add(-1)
+			done(nil, err)
+			return
+		}
+		c.SetSession(dialled{h})
+		if _, err := n.engine.AddConn(c); err != nil {
+			done(nil, err)
+			return
+		}
+		done(c, nil) // not before: a write needs the engine
+	}()
+}
+
+// dialled marks a connection that was not accepted.
+type dialled struct{ Handler }
+
+// Stop closes the listener and every connection.
+func (n *Net) Stop() { n.engine.Stop() }
+
+// quiet sends nbio's own lines to our log; what it calls errors are mostly peers that went away.
+type quiet struct{ *zap.SugaredLogger }
+
+func (q quiet) SetLevel(int)                  {}
+func (q quiet) Debug(format string, v ...any) { q.Debugf(format, v...) }
+func (q quiet) Info(format string, v ...any)  { q.Debugf(format, v...) }
+func (q quiet) Warn(format string, v ...any)  { q.Warnf(format, v...) }
+func (q quiet) Error(format string, v ...any) { q.Warnf(format, v...) }
