Add the MQTT front: calls in and out as messages, shown against a stand-in broker

Calls come as MQTT 5 messages and go to workers that subscribe, through the same core and module as HTTP. A keyed call is acknowledged before its first attempt; its key and answer outlive the broker's session; one marked as delivered again under an unknown key is failed. Safe calls are acknowledged with their outcome.

Found by the tests while building: - A broker may send retained messages before SUBACK; the link then routed calls while its session did not count as up, and the module refused them. The session is usable from CONNACK on now. - Fuzzing reported a key that ran twice. Cause: the stand-in worker did not drop repeats of a key within 8 s and one hall, as the site's workers do; the module relies on that when it sends again after a reset.

--- a/cmd/quillrail/main.go
+++ b/cmd/quillrail/main.go
@@ -25,6 +25,7 @@
 
 func command() *cli.Command {
 	level := &cli.StringFlag{Name: "log-level", Value: "info", Usage: "least level that is logged: debug, info, warn, error"}
+	side := &cli.StringFlag{Name: "mqtt", Value: "deploy/mqtt.toml", Usage: "the file of the MQTT front and the flow export"}
 	return &cli.Command{
 		Name:  "quillrail",
 		Usage: "a gateway for functions loaded on demand",
@@ -32,14 +33,15 @@
 			{
 				Name:   "serve",
 				Usage:  "serve calls as the configuration in $NODE_CONFIG says, until SIGTERM",
-				Flags:  []cli.Flag{level},
+				Flags:  []cli.Flag{level, side},
 				Action: serve,
 			},
 			{
 				Name:  "check-config",
 				Usage: "read the configuration in $NODE_CONFIG and say what is wrong with it",
+				Flags: []cli.Flag{side},
 				Action: func(_ context.Context, c *cli.Command) error {
-					conf, err := lifecycle.FromEnv()
+					conf, err := lifecycle.FromEnv(c.String("mqtt"))
 					if err != nil {
 						return err
 					}
@@ -65,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	conf, err := lifecycle.FromEnv()
+	conf, err := lifecycle.FromEnv(c.String("mqtt"))
 	if err != nil {
 		return err
 	}
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -69,6 +69,7 @@
 // Record is what is known of a request when it has its final answer.
 type Record struct {
 	Call     *Call
+	Bytes    int // of the call's body
 	Start    time.Duration
 	End      time.Duration
 	Answer   string // served, refused, failed, gone
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -144,7 +144,7 @@
 	c.loop.Cancel(r.over)
 	c.requests.Free(r.ref)
 	if c.observe != nil {
-		c.observe(Record{Call: &r.call, Start: r.start, End: c.loop.Now(), Answer: answer, Attempts: len(r.shots),
+		c.observe(Record{Call: &r.call, Bytes: len(r.call.Body), Start: r.start, End: c.loop.Now(), Answer: answer, Attempts: len(r.shots),
 			Host: r.last})
 	}
 }
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -26,8 +26,13 @@
 	Last     uint64
 	Known    []bulletin.Event
 	Site     *settings.Site
+	Side     *Side
 }
 
+// clients is the number of clients' connections that are held: the third that the platform allows them, and a
+// few that are on their way out.
+func (c *Config) clients() int { return c.Sockets/3 + 8 }
+
 type configFile struct {
 	Name   string `json:"name"`
 	Listen string `json:"listen"`
@@ -42,8 +47,8 @@
 	Settings json.RawMessage `json:"settings"`
 }
 
-// FromEnv reads the configuration that the platform names in the environment.
-func FromEnv() (*Config, error) {
+// FromEnv reads the configuration that the platform names in the environment, and the file of the MQTT front.
+func FromEnv(side string) (*Config, error) {
 	path := os.Getenv("NODE_CONFIG")
 	if path == "" {
 		return nil, errors.New("NODE_CONFIG names no file")
@@ -62,6 +67,9 @@
 	if listen := os.Getenv("NODE_LISTEN"); listen != "" {
 		c.Listen = listen
 	}
+	if c.Side, err = ReadSide(side); err != nil {
+		return nil, err
+	}
 	return c, c.check()
 }
 
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -12,6 +12,8 @@
 	"quillrail/internal/core"
 	"quillrail/internal/wire/bulletin"
 	"quillrail/internal/wire/httpfront"
+	"quillrail/internal/wire/ipfix"
+	"quillrail/internal/wire/mqtt"
 	"quillrail/internal/wire/sock"
 	"quillrail/internal/wire/workerlink"
 )
@@ -31,6 +33,9 @@
 	core  *core.Core
 	net   *sock.Net
 	front *httpfront.Front
+	calls *mqtt.Front     // nil where MQTT is off
+	link  *mqtt.Link      // likewise
+	flows *ipfix.Exporter // nil where the export is off
 	log   *zap.Logger
 	term  bool
 	done  context.CancelFunc
@@ -56,30 +61,70 @@
 // Start brings the parts of a gateway up; its Loop is still to be run.
 func Start(c *Config, log *zap.Logger) (*Gateway, error) {
 	loop := core.NewLoop(core.WallClock)
-	clients := c.Sockets/3 + 8
-	front := httpfront.New(loop, c.Site, clients, log.Named("http"))
+	front := httpfront.New(loop, c.Site, c.clients(), log.Named("http"))
 	net, err := sock.Listen(c.Listen, c.Sockets, front.Accept, log)
 	if err != nil {
 		return nil, err
 	}
-	workers := workerlink.New(loop, net, c.Site, c.Sockets-clients-ownSockets, log.Named("workers"))
-	k, err := core.New(loop, c.Site.Decide, c.Seed, workers, nil, log.Named("core"))
-	if err != nil {
+	g := &Gateway{loop: loop, net: net, front: front, log: log}
+	if err := g.build(c); err != nil {
 		net.Stop()
 		return nil, err
 	}
-	workers.Serve(k)
-	feed := bulletin.NewFeed(loop, net, c.Bulletin, c.Site, c.Last, k.List, log.Named("bulletin"))
-	g := &Gateway{loop: loop, core: k, net: net, front: front, log: log}
+	return g, nil
+}
+
+// build makes the parts behind the front and has the first turn start them.
+func (g *Gateway) build(c *Config) (err error) {
+	loop, net, log := g.loop, g.net, g.log
+	var observe core.Observer
+	if c.Side.Export.Enabled {
+		g.flows = ipfix.New(loop, net, c.Side.exportOptions(c.Site), log.Named("ipfix"))
+		observe = g.flows.Observe
+	}
+	pool := workerlink.New(loop, net, c.Site, c.Sockets-c.clients()-ownSockets, log.Named("workers"))
+	var workers core.Workers = pool
+	tell := func(whole bool, members []core.Member) { g.core.List(whole, members) }
+	told := tell
+	if c.Side.Enabled && c.Side.Workers.Broker != "" {
+		opt, replies, list, err := c.Side.workerOptions(c.Name, c.Site)
+		if err != nil {
+			return err
+		}
+		g.link = mqtt.NewLink(loop, net, opt, replies, list, c.Seed, tell, log.Named("mqtt.workers"))
+		f := &fleet{Pool: pool, mqtt: g.link}
+		workers, told = f, f.bulletin(tell)
+	}
+	if g.core, err = core.New(loop, c.Site.Decide, c.Seed, workers, observe, log.Named("core")); err != nil {
+		return err
+	}
+	pool.Serve(g.core)
+	if g.link != nil {
+		g.link.Serve(g.core)
+	}
+	if c.Side.Enabled && c.Side.Calls.Broker != "" {
+		opt, keep := c.Side.callOptions(c.Name)
+		g.calls = mqtt.NewFront(loop, net, g.core, c.Site, opt, keep, c.Seed, observe, log.Named("mqtt.calls"))
+	}
+	feed := bulletin.NewFeed(loop, net, c.Bulletin, c.Site, c.Last, told, log.Named("bulletin"))
 	loop.Post(func() {
 		for _, e := range c.Known {
-			k.List(e.Whole, e.Members)
+			told(e.Whole, e.Members)
 		}
 		feed.Connect()
-		front.Serve(k)
+		if g.flows != nil {
+			g.flows.Start()
+		}
+		if g.link != nil {
+			g.link.Connect()
+		}
+		if g.calls != nil {
+			g.calls.Connect()
+		}
+		g.front.Serve(g.core)
 		log.Info("ready", zap.String("listen", net.Addr()), zap.Uint64("event", c.Last))
 	})
-	return g, nil
+	return nil
 }
 
 // drain is what SIGTERM does: for a while calls are taken as ever, since the platform goes on sending them;
@@ -96,11 +141,12 @@
 			g.log.Warn("out of time", zap.Int("failed", n))
 			g.core.FailAll()
 		}
+		g.loop.After(lastFlush, g.stop) // whether or not a broker still owes an acknowledgement
 	})
 }
 
 func (g *Gateway) finish() {
-	if g.core.Open() > 0 {
+	if g.core.Open() > 0 || g.calls != nil && g.calls.Up() && g.calls.Waiting() > 0 {
 		g.loop.After(10*time.Millisecond, g.finish)
 		return
 	}
@@ -110,6 +156,20 @@
 			g.finish()
 			return
 		}
-		g.done()
+		g.stop()
 	})
 }
+
+// stop ends the sessions that should not just break off, and the loop.
+func (g *Gateway) stop() {
+	if g.calls != nil {
+		g.calls.Stop()
+	}
+	if g.link != nil {
+		g.link.Stop()
+	}
+	if g.flows != nil {
+		g.flows.Stop()
+	}
+	g.done()
+}
--- /dev/null
+++ b/internal/wire/form/form.go
@@ -0,0 +1,106 @@
+// Package form checks the fields of a call, which both fronts spell the same way though they carry them in
+// different places. What does not pass here never reaches a worker.
+package form
+
+import (
+	"errors"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"quillrail/internal/core"
+	"quillrail/internal/lifecycle/settings"
+)
+
+const (
+	maxNumber  = 1e9
+	maxWaitMs  = 3600e3
+	maxKeySize = 128
+	maxLanes   = 1024
+)
+
+// Raw holds the fields of a call as text. Those that may be absent are empty then.
+type Raw struct {
+	Function, ID, Class, Tenant, Key string
+
+	WaitMs string
+	CostMs string // may be absent
+	Tags   string // may be absent: memory_mb:512;lanes:2;load_ms:640
+	Retry  string // may be absent
+}
+
+// ErrFunction is the error of a function that can't be one.
+var ErrFunction = errors.New("a function is 16 hex digits")
+
+// Call checks the fields and makes a call of them.
+func (r Raw) Call(site *settings.Site) (call core.Call, err error) {
+	if !settings.Hex16(r.Function) {
+		return call, ErrFunction
+	}
+	if !settings.Hex16(r.ID) {
+		return call, errors.New("the request id is not 16 hex digits")
+	}
+	call.Function, call.ID, call.ClassName, call.Key = r.Function, r.ID, r.Class, r.Key
+	var ok bool
+	if call.Class, ok = site.Class(r.Class); !ok {
+		return call, errors.New("unknown class")
+	}
+	if call.Tenant, ok = site.Tenant(r.Tenant); !ok {
+		return call, errors.New("unknown tenant")
+	}
+	if !settings.Word(r.Key, maxKeySize) {
+		return call, errors.New("the key is not a word of up to 128 characters")
+	}
+	if r.Key == "" && site.Keyed(call.Class) {
+		return call, errors.New("this class needs a key")
+	}
+	wait, err := number(r.WaitMs, maxWaitMs)
+	if err != nil || wait <= 0 {
+		return call, errors.New("the time to wait is not a number of milliseconds")
+	}
+	call.Wait, call.Repeat = milliseconds(wait), r.Retry != ""
+	if r.CostMs != "" {
+		cost, err := number(r.CostMs, maxNumber)
+		if err != nil {
+			return call, errors.New("the cost is not a number of milliseconds")
+		}
+		call.Work = milliseconds(cost)
+	}
+	return call, tags(r.Tags, &call)
+}
+
+// tags reads name:value pairs; unknown names are left alone.
+func tags(text string, call *core.Call) error {
+	for text != "" {
+		var pair string
+		pair, text, _ = strings.Cut(text, ";")
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), ":")
+		if name != "memory_mb" && name != "lanes" && name != "load_ms" {
+			continue
+		}
+		x, err := number(value, maxNumber)
+		if err != nil {
+			return errors.New("a tag is not a number: " + name)
+		}
+		switch name {
+		case "memory_mb":
+			call.MemoryMB = x
+		case "lanes":
+			call.Lanes = int(min(x, maxLanes))
+		case "load_ms":
+			call.LoadTime = milliseconds(x)
+		}
+	}
+	return nil
+}
+
+func number(text string, most float64) (float64, error) {
+	x, err := strconv.ParseFloat(text, 64)
+	if err == nil && (math.IsNaN(x) || x < 0 || x > most) {
+		err = strconv.ErrRange
+	}
+	return x, err
+}
+
+func milliseconds(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
--- a/internal/wire/httpfront/front.go
+++ b/internal/wire/httpfront/front.go
@@ -1,8 +1,8 @@
 package httpfront
 
 import (
+	"errors"
 	"fmt"
-	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -11,16 +11,14 @@
 
 	"quillrail/internal/core"
 	"quillrail/internal/lifecycle/settings"
+	"quillrail/internal/wire/form"
 	"quillrail/internal/wire/sock"
 )
 
 const (
-	idleLimit  = 30 * time.Second // a connection with no open request
-	readLimit  = 10 * time.Second // for the rest of a request that has begun
-	pipelined  = 4                // requests that may wait on one connection behind the open one
-	maxHintMs  = 1e9
-	maxWaitMs  = 3600e3
-	maxKeySize = 128
+	idleLimit = 30 * time.Second // a connection with no open request
+	readLimit = 10 * time.Second // for the rest of a request that has begun
+	pipelined = 4                // requests that may wait on one connection behind the open one
 )
 
 // Taker is the part of the core that a front needs.
@@ -182,7 +180,7 @@
 		}
 		return
 	}
-	call, err := ToCall(r, c.f.set)
+	call, err := toCall(r, c.f.set)
 	if err != nil {
 		b := err.(*BadRequest)
 		c.f.log.Info("bad call", zap.String("path", r.Path), zap.Error(err))
@@ -289,84 +287,25 @@
 	x.end(502, "", nil)
 }
 
-// ToCall checks a request and makes a call of it. What is unknown here never reaches a worker.
-func ToCall(r *Request, set *settings.Site) (call core.Call, err error) {
+// toCall reads a call from a request.
+func toCall(r *Request, set *settings.Site) (core.Call, error) {
 	name, ok := strings.CutPrefix(r.Path, "/do/")
 	if name, ok = strings.CutSuffix(name, "/call"); !ok || !strings.HasPrefix(r.Path, "/do/") {
-		return call, bad(404, "no such path")
+		return core.Call{}, bad(404, "no such path")
 	}
 	if r.Method != "POST" {
-		return call, bad(405, "a call is a POST")
+		return core.Call{}, bad(405, "a call is a POST")
 	}
-	if !settings.Hex16(name) {
-		return call, bad(404, "a function is 16 hex digits")
+	h := r.Header
+	call, err := form.Raw{Function: name, ID: h["req-id"], Class: h["x-class"], Tenant: h["req-owner"],
+		Key: h["req-token"], WaitMs: h["req-wait-ms"], CostMs: h["req-cost"], Tags: h["x-tags"],
+		Retry: h["req-retry"]}.Call(set)
+	if errors.Is(err, form.ErrFunction) {
+		return call, bad(404, "%v", err)
 	}
-	call.Function, call.ID, call.Body = name, r.Header["req-id"], r.Body
-	if !settings.Hex16(call.ID) {
-		return call, bad(400, "Req-Id is not 16 hex digits")
-	}
-	call.ClassName = r.Header["x-class"]
-	if call.Class, ok = set.Class(call.ClassName); !ok {
-		return call, bad(400, "unknown X-Class")
-	}
-	if call.Tenant, ok = set.Tenant(r.Header["req-owner"]); !ok {
-		return call, bad(400, "unknown Req-Owner")
-	}
-	wait, err := number(r.Header["req-wait-ms"], maxWaitMs)
-	if err != nil || wait <= 0 {
-		return call, bad(400, "Req-Wait-Ms")
-	}
-	call.Wait = milliseconds(wait)
-	if call.Key = r.Header["req-token"]; !settings.Word(call.Key, maxKeySize) {
-		return call, bad(400, "Req-Token")
-	}
-	if call.Key == "" && set.Keyed(call.Class) {
-		return call, bad(400, "this class needs a Req-Token")
-	}
-	call.Repeat = r.Header["req-retry"] != ""
-	if text := r.Header["req-cost"]; text != "" {
-		cost, err := number(text, maxHintMs)
-		if err != nil {
-			return call, bad(400, "Req-Cost")
-		}
-		call.Work = milliseconds(cost)
-	}
-	return call, tags(r.Header["x-tags"], &call)
-}
-
-// tags reads name:value pairs; unknown names are left alone.
-func tags(text string, call *core.Call) error {
-	for text != "" {
-		var pair string
-		pair, text, _ = strings.Cut(text, ";")
-		name, value, _ := strings.Cut(strings.TrimSpace(pair), ":")
-		switch name {
-		case "memory_mb", "lanes", "load_ms":
-		default:
-			continue
-		}
-		x, err := number(value, maxHintMs)
-		if err != nil {
-			return bad(400, "X-Tags")
-		}
-		switch name {
-		case "memory_mb":
-			call.MemoryMB = x
-		case "lanes":
-			call.Lanes = int(min(x, 1024))
-		case "load_ms":
-			call.LoadTime = milliseconds(x)
-		}
-	}
-	return nil
-}
-
-func number(text string, most float64) (float64, error) {
-	x, err := strconv.ParseFloat(text, 64)
-	if err == nil && (math.IsNaN(x) || x < 0 || x > most) {
-		err = strconv.ErrRange
+	if err != nil {
+		return call, bad(400, "%v", err)
 	}
-	return x, err
+	call.Body = r.Body
+	return call, nil
 }
-
-func milliseconds(x float64) time.Duration { return time.Duration(x * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/wire/mqtt/link.go
@@ -0,0 +1,227 @@
+package mqtt
+
+import (
+	"bytes"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"quillrail/decide"
+	"quillrail/internal/core"
+)
+
+// Prefix begins the names of workers that are reached by MQTT.
+const Prefix = "mqtt-"
+
+// Worker is a worker that subscribes to calls. It keeps its state, ready or draining, as a retained message on
+// StatusTopic, with gone as its last will.
+type Worker struct {
+	Name, Topic, StatusTopic string
+	Zone, Cell               int
+	Weight                   float64
+}
+
+// Ends takes the ends of attempts and orders; the core is one.
+type Ends interface {
+	Ended(attempt core.Ref, how decide.Outcome, note decide.Note, body []byte)
+	Loaded(order core.Ref, how decide.Outcome, copies int)
+}
+
+// Link sends calls to workers that subscribe at a broker, one QoS 1 message each. It belongs to the turn.
+//
+// Its session is clean: a session that is resumed would have to send again what was not acknowledged, though it
+// may have run. What is out when the connection is lost ends as reset instead.
+type Link struct {
+	loop    *core.Loop
+	ends    Ends
+	log     *zap.Logger
+	session *Session
+	tell    func(whole bool, members []core.Member)
+	replies string // topic of the answers
+	life    []byte // begins the correlation data, against answers to a former life of this gateway
+	workers map[string]*Worker
+	state   map[string]decide.HostState // of the workers told
+	since   map[string]time.Duration    // their last starts
+	open    map[core.Ref]*sending
+}
+
+// sending is an attempt that is out.
+type sending struct {
+	worker  string
+	pending *Pending
+}
+
+// NewLink returns a link to workers. tell takes the changes of their list, as that of the bulletin.
+func NewLink(loop *core.Loop, net Dialer, opt Options, replies string, workers []Worker, seed uint64,
+	tell func(bool, []core.Member), log *zap.Logger) *Link {
+	l := &Link{loop: loop, log: log, tell: tell, replies: replies, workers: map[string]*Worker{},
+		life: binary.BigEndian.AppendUint64(nil, seed), state: map[string]decide.HostState{}, since: map[string]time.Duration{}, open: map[core.Ref]*sending{}}
+	opt.Clean, opt.Subscribe = true, []string{replies}
+	for _, w := range workers {
+		l.workers[w.Name] = &w
+		opt.Subscribe = append(opt.Subscribe, w.StatusTopic)
+	}
+	l.session = NewSession(loop, net, opt, l.receive, l.changed, log)
+	return l
+}
+
+// Serve says who takes the ends.
+func (l *Link) Serve(e Ends) { l.ends = e }
+
+// Connect begins.
+func (l *Link) Connect() { l.session.Connect() }
+
+// Stop ends the session's connection.
+func (l *Link) Stop() { l.session.Stop() }
+
+// changed notes that the session has come up or gone down. Without it no worker can be reached.
+func (l *Link) changed(up bool) {
+	if up {
+		return // the retained states of the workers follow
+	}
+	var members []core.Member
+	for _, name := range slices.Sorted(maps.Keys(l.state)) {
+		members = append(members, l.member(l.workers[name], decide.Gone))
+	}
+	clear(l.state)
+	if len(members) > 0 {
+		l.tell(false, members)
+	}
+	for _, ref := range slices.Sorted(maps.Keys(l.open)) {
+		l.end(ref, decide.Reset, decide.NoNote, nil)
+	}
+}
+
+func (l *Link) member(w *Worker, state decide.HostState) core.Member {
+	return core.Member{Addr: w.Topic, Host: decide.Host{Name: w.Name, Zone: w.Zone, Cell: w.Cell, State: state,
+		Weight: w.Weight, Since: l.since[w.Name]}}
+}
+
+func (l *Link) end(ref core.Ref, how decide.Outcome, note decide.Note, body []byte) {
+	if _, ok := l.open[ref]; ok {
+		delete(l.open, ref)
+		l.ends.Ended(ref, how, note, body)
+	}
+}
+
+// Send publishes a call on its worker's topic.
+func (l *Link) Send(a core.Attempt) {
+	w := l.workers[a.Host]
+	if w == nil || !l.session.Up() {
+		l.ends.Ended(a.Ref, decide.NoConn, decide.NoNote, nil)
+		return
+	}
+	s := &sending{worker: a.Host}
+	l.open[a.Ref] = s
+	c := a.Call
+	m := Message{Topic: w.Topic, Payload: c.Body, Props: Props{ResponseTopic: l.replies,
+		Correlation: binary.BigEndian.AppendUint64(slices.Clone(l.life), uint64(a.Ref)),
+		Expiry:      uint32((a.Budget + time.Second - 1) / time.Second), HasExpiry: true,
+		User: []Pair{{"id", c.ID}, {"class", c.ClassName}, {"function", c.Function},
+			{"budget-ms", strconv.FormatInt(max(1, a.Budget.Milliseconds()), 10)}}}}
+	if c.Key != "" {
+		m.Props.User = append(m.Props.User, Pair{"key", c.Key})
+	}
+	s.pending = l.session.Publish(m, func(reason byte, err error) {
+		switch {
+		case err == errLost: // the state of the session ends all that is open
+		case err != nil:
+			l.end(a.Ref, decide.Nop, decide.NoNote, nil)
+		case reason == NoSubscribers, reason >= failureReasons: // nobody got it
+			l.end(a.Ref, decide.NoConn, decide.NoNote, nil)
+		}
+	})
+}
+
+// Cancel gives an attempt up and tells the worker so, which may disregard it.
+func (l *Link) Cancel(host string, ref core.Ref) {
+	s, ok := l.open[ref]
+	if !ok {
+		return
+	}
+	delete(l.open, ref)
+	if w := l.workers[host]; w != nil && !l.session.Withdraw(s.pending) {
+		l.session.Send(Message{Topic: w.Topic + "/cancel", Props: Props{
+			Correlation: binary.BigEndian.AppendUint64(slices.Clone(l.life), uint64(ref))}})
+	}
+}
+
+var outcomes = map[string]decide.Outcome{"ok": decide.Good, "miss": decide.Miss, "busy": decide.Full,
+	"error": decide.Bad, "void": decide.Nop}
+
+var notes = map[string]decide.Note{"warm": decide.FoundWarm, "cold": decide.BeganLoad, "joined": decide.WaitedLoad,
+	"load_failed": decide.LoadFailed}
+
+var states = map[string]decide.HostState{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone}
+
+func (l *Link) receive(p *Packet, receipt Receipt) {
+	receipt.Ack()
+	if p.Topic == l.replies {
+		corr := p.Props.Correlation
+		how, known := outcomes[p.Props.Get("outcome")]
+		if len(corr) != 16 || !bytes.HasPrefix(corr, l.life) {
+			l.log.Info("answer to another life of this gateway")
+			return
+		}
+		if !known { // of no use, but the worker is done with it
+			l.log.Warn("answer that can't be read", zap.String("outcome", p.Props.Get("outcome")))
+			how = decide.Reset
+		}
+		l.end(core.Ref(binary.BigEndian.Uint64(corr[8:])), how, notes[p.Props.Get("detail")], p.Payload)
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(l.workers)) {
+		if w := l.workers[name]; w.StatusTopic == p.Topic {
+			l.status(w, string(p.Payload), p.Retained())
+		}
+	}
+}
+
+// status takes a worker's state. One that comes back after it was gone may have been started anew, and is
+// treated as cold unless the state is from before we subscribed.
+func (l *Link) status(w *Worker, text string, retained bool) {
+	state, ok := states[strings.TrimSpace(text)]
+	if !ok {
+		l.log.Warn("worker's state can't be read", zap.String("worker", w.Name))
+		return
+	}
+	was, known := l.state[w.Name]
+	if known && was == state || !known && state == decide.Gone {
+		return
+	}
+	if state == decide.Ready && !retained {
+		l.since[w.Name] = l.loop.Now()
+	}
+	l.state[w.Name] = state
+	l.log.Info("worker's state", zap.String("worker", w.Name), zap.String("state", text))
+	l.tell(false, []core.Member{l.member(w, state)})
+	if state == decide.Gone {
+		for _, ref := range slices.Sorted(maps.Keys(l.open)) {
+			if l.open[ref].worker == w.Name {
+				l.end(ref, decide.Reset, decide.NoNote, nil)
+			}
+		}
+	}
+}
+
+// Members are the workers as last told.
+func (l *Link) Members() (members []core.Member) {
+	for _, name := range slices.Sorted(maps.Keys(l.state)) {
+		members = append(members, l.member(l.workers[name], l.state[name]))
+	}
+	return members
+}
+
+// Load is not spoken here: workers load what they lack when it is called.
+func (l *Link) Load(ref core.Ref, _, _ string, _ int) { l.ends.Loaded(ref, decide.Full, 0) }
+
+// Forget has nothing to forget, Unload nothing to unload, Release nothing to release.
+func (l *Link) Forget(string, core.Ref)  {}
+func (l *Link) Unload(string, string)    {}
+func (l *Link) Release(string)           {}
+func (l *Link) List(bool, []core.Member) {}
