--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -80,6 +80,9 @@
 	l.dirty = l.dirty[:0]
 }
 
+// Wait blocks until something has been posted. With Turn it is Run without a timer, for tests on sockets.
+func (l *Loop) Wait() { <-l.wake }
+
 // Run takes turns until ctx ends.
 func (l *Loop) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -45,7 +45,7 @@
 func Serve(ctx context.Context, c *Config, log *zap.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	debug.SetMemoryLimit(int64(memoryPart * float64(c.MemoryMB) * (1 << 20)))
-	g, err := Start(c, log)
+	g, err := Start(c, core.WallClock, log)
 	if err != nil {
 		return err
 	}
@@ -59,8 +59,8 @@
 }
 
 // Start brings the parts of a gateway up; its Loop is still to be run.
-func Start(c *Config, log *zap.Logger) (*Gateway, error) {
-	loop := core.NewLoop(core.WallClock)
+func Start(c *Config, clock func() time.Duration, log *zap.Logger) (*Gateway, error) {
+	loop := core.NewLoop(clock)
 	front := httpfront.New(loop, c.Site, c.clients(), log.Named("http"))
 	net, err := sock.Listen(c.Listen, c.Sockets, front.Accept, log)
 	if err != nil {
--- a/internal/wire/form/form.go
+++ b/internal/wire/form/form.go
@@ -103,4 +103,6 @@
 	return x, err
 }
 
-func milliseconds(x float64) time.Duration { return time.Duration(math.Round(x * float64(time.Millisecond))) }
+func milliseconds(x float64) time.Duration {
+	return time.Duration(math.Round(x * float64(time.Millisecond)))
+}
--- a/internal/wire/sock/sock.go
+++ b/internal/wire/sock/sock.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,8 @@
 	writeBuffer = 1 << 20 // most that is kept for a peer that does not read
 )
 
+var once sync.Once
+
 // Net runs the sockets of one listener and of any number of dialled connections.
 type Net struct {
 	engine *nbio.Engine
@@ -40,8 +43,10 @@
 // Listen starts an engine. With an address, accepted connections go to accept, which must not close them yet;
 // with none the engine only dials. sockets is the limit on descriptors.
 func Listen(addr string, sockets int, accept func(Conn) Handler, log *zap.Logger) (*Net, error) {
-	logging.SetLogger(quiet{log.Named("nbio").Sugar()})
-	nbio.MaxOpenFiles = max(1024, 2*sockets) // nbio keeps an array of so many; its default takes 16 MB
+	once.Do(func() { // both are nbio's globals, and must not change under a running engine
+		logging.SetLogger(quiet{log.Named("nbio").Sugar()})
+		nbio.MaxOpenFiles = max(1024, 2*sockets) // nbio keeps an array of so many; its default takes 16 MB
+	})
 	conf := nbio.Config{Name: "quillrail", Network: "tcp", NPoller: 1, ReadBufferSize: readBuffer,
 		MaxWriteBufferSize: writeBuffer}
 	if addr != "" {
@@ -49,23 +54,25 @@
 	}
 	n := &Net{engine: nbio.NewEngine(conf)}
 	n.engine.OnOpen(func(c *nbio.Conn) {
-		if _, ours := c.Session().(dialled); ours {
+		if c.Session() != nil { // dialled
 			return
 		}
 		n.open.Add(1)
-		c.SetSession(accept(c))
+		s := new(session)
+		s.set(accept(c))
+		c.SetSession(s)
 	})
 	n.engine.OnData(func(c *nbio.Conn, b []byte) {
-		if h, ok := c.Session().(Handler); ok {
-			if err := h.Data(b); err != nil {
+		if s, ok := c.Session().(*session); ok {
+			if err := s.get().Data(b); err != nil {
 				c.CloseWithError(err)
 			}
 		}
 	})
 	n.engine.OnClose(func(c *nbio.Conn, err error) {
 		n.open.Add(-1)
-		if h, ok := c.Session().(Handler); ok {
-			h.Closed(err)
+		if s, ok := c.Session().(*session); ok {
+			s.get().Closed(err)
 		}
 	})
 	// Without a pause nbio would spin when accepting fails for want of descriptors.
@@ -109,7 +116,9 @@
 			done(nil, err)
 			return
 		}
-		c.SetSession(dialled{h})
+		s := new(session)
+		s.set(h)
+		c.SetSession(s)
 		if _, err := n.engine.AddConn(c); err != nil {
 			done(nil, err)
 			return
@@ -118,8 +127,24 @@
 	}()
 }
 
-// dialled marks a connection that was not accepted.
-type dialled struct{ Handler }
+// session holds a connection's handler. The goroutine that accepts or dials hands it to the poller's through the
+// kernel, which the race detector does not see; the lock lets it.
+type session struct {
+	mu sync.Mutex
+	h  Handler
+}
+
+func (s *session) set(h Handler) {
+	s.mu.Lock()
+	s.h = h
+	s.mu.Unlock()
+}
+
+func (s *session) get() Handler {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.h
+}
 
 // Stop closes the listener and every connection.
 func (n *Net) Stop() { n.engine.Stop() }
