--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -60,6 +60,12 @@
 	List(whole bool, members []Member)
 }
 
+// Ends takes the ends of attempts and orders: Core does.
+type Ends interface {
+	Ended(attempt Ref, how decide.Outcome, note decide.Note, body []byte)
+	Loaded(order Ref, how decide.Outcome, copies int)
+}
+
 // Member is an entry of the list of workers and where it listens.
 type Member struct {
 	decide.Host
--- a/internal/wire/bulletin/feed.go
+++ b/internal/wire/bulletin/feed.go
@@ -20,16 +20,11 @@
 	retryMost    = 500 * time.Millisecond
 )
 
-// Dialer opens connections.
-type Dialer interface {
-	Dial(addr string, timeout time.Duration, h sock.Handler, done func(sock.Conn, error))
-}
-
 // Feed follows the bulletin from the last event it has, over as many connections as it takes. It belongs to
 // the turn.
 type Feed struct {
 	loop *core.Loop
-	net  Dialer
+	net  sock.Dialer
 	addr string
 	site *settings.Site
 	tell func(whole bool, members []core.Member)
@@ -44,7 +39,7 @@
 }
 
 // NewFeed returns a feed that tells the changes of the list after event last.
-func NewFeed(loop *core.Loop, net Dialer, addr string, site *settings.Site, last uint64,
+func NewFeed(loop *core.Loop, net sock.Dialer, addr string, site *settings.Site, last uint64,
 	tell func(bool, []core.Member), log *zap.Logger) *Feed {
 	return &Feed{loop: loop, net: net, addr: addr, site: site, last: last, tell: tell, log: log, backoff: retryFirst}
 }
--- a/internal/wire/ipfix/exporter.go
+++ b/internal/wire/ipfix/exporter.go
@@ -20,11 +20,6 @@
 	maxMessage   = 16 << 10 // of a message; the standard allows 64 KiB
 )
 
-// Dialer opens connections.
-type Dialer interface {
-	Dial(addr string, timeout time.Duration, h sock.Handler, done func(sock.Conn, error))
-}
-
 // Options are what an exporter is told.
 type Options struct {
 	Collector  string
@@ -38,7 +33,7 @@
 // is counted and dropped.
 type Exporter struct {
 	loop *core.Loop
-	net  Dialer
+	net  sock.Dialer
 	opt  Options
 	log  *zap.Logger
 
@@ -55,7 +50,7 @@
 }
 
 // New returns an exporter.
-func New(loop *core.Loop, net Dialer, opt Options, log *zap.Logger) *Exporter {
+func New(loop *core.Loop, net sock.Dialer, opt Options, log *zap.Logger) *Exporter {
 	return &Exporter{loop: loop, net: net, opt: opt, log: log, backoff: retryFirst}
 }
 
--- a/internal/wire/mqtt/front.go
+++ b/internal/wire/mqtt/front.go
@@ -12,6 +12,7 @@
 	"quillrail/internal/core"
 	"quillrail/internal/lifecycle/settings"
 	"quillrail/internal/wire/form"
+	"quillrail/internal/wire/sock"
 )
 
 const (
@@ -54,7 +55,7 @@
 
 // NewFront returns a front that takes calls of the broker in opt. keep is for how long answers are remembered.
 // observe is told of outcomes that the core is not asked for.
-func NewFront(loop *core.Loop, net Dialer, taker Taker, site *settings.Site, opt Options, keep time.Duration,
+func NewFront(loop *core.Loop, net sock.Dialer, taker Taker, site *settings.Site, opt Options, keep time.Duration,
 	seed uint64, observe core.Observer, log *zap.Logger) *Front {
 	f := &Front{loop: loop, core: taker, site: site, log: log, observe: observe,
 		keys:   core.NewKeys(loop, keep, maxKeys, maxAnswers),
--- a/internal/wire/mqtt/link.go
+++ b/internal/wire/mqtt/link.go
@@ -13,6 +13,7 @@
 
 	"quillrail/decide"
 	"quillrail/internal/core"
+	"quillrail/internal/wire/sock"
 )
 
 // Prefix begins the names of workers that are reached by MQTT.
@@ -26,19 +27,13 @@
 	Weight                   float64
 }
 
-// Ends takes the ends of attempts and orders; the core is one.
-type Ends interface {
-	Ended(attempt core.Ref, how decide.Outcome, note decide.Note, body []byte)
-	Loaded(order core.Ref, how decide.Outcome, copies int)
-}
-
 // Link sends calls to workers that subscribe at a broker, one QoS 1 message each. It belongs to the turn.
 //
 // Its session is clean: a session that is resumed would have to send again what was not acknowledged, though it
 // may have run. What is out when the connection is lost ends as reset instead.
 type Link struct {
 	loop    *core.Loop
-	ends    Ends
+	ends    core.Ends
 	log     *zap.Logger
 	session *Session
 	tell    func(whole bool, members []core.Member)
@@ -57,7 +52,7 @@
 }
 
 // NewLink returns a link to workers. tell takes the changes of their list, as that of the bulletin.
-func NewLink(loop *core.Loop, net Dialer, opt Options, replies string, workers []Worker, seed uint64,
+func NewLink(loop *core.Loop, net sock.Dialer, opt Options, replies string, workers []Worker, seed uint64,
 	tell func(bool, []core.Member), log *zap.Logger) *Link {
 	l := &Link{loop: loop, log: log, tell: tell, replies: replies, workers: map[string]*Worker{},
 		life: binary.BigEndian.AppendUint64(nil, seed), state: map[string]decide.HostState{}, since: map[string]time.Duration{}, open: map[core.Ref]*sending{}}
@@ -71,7 +66,7 @@
 }
 
 // Serve says who takes the ends.
-func (l *Link) Serve(e Ends) { l.ends = e }
+func (l *Link) Serve(e core.Ends) { l.ends = e }
 
 // Connect begins.
 func (l *Link) Connect() { l.session.Connect() }
--- a/internal/wire/mqtt/session.go
+++ b/internal/wire/mqtt/session.go
@@ -21,11 +21,6 @@
 	receiveMax   = 64      // messages that the broker may have out to us
 )
 
-// Dialer opens connections.
-type Dialer interface {
-	Dial(addr string, timeout time.Duration, h sock.Handler, done func(sock.Conn, error))
-}
-
 // Options are what a session is told.
 type Options struct {
 	Broker    string
@@ -45,7 +40,7 @@
 // Session is a client's session with a broker, over as many connections as it takes. It belongs to the turn.
 type Session struct {
 	loop *core.Loop
-	net  Dialer
+	net  sock.Dialer
 	opt  Options
 	log  *zap.Logger
 
@@ -95,7 +90,7 @@
 }
 
 // NewSession returns a session that hands what it receives to receive.
-func NewSession(loop *core.Loop, net Dialer, opt Options, receive func(*Packet, Receipt), state func(bool),
+func NewSession(loop *core.Loop, net sock.Dialer, opt Options, receive func(*Packet, Receipt), state func(bool),
 	log *zap.Logger) *Session {
 	return &Session{loop: loop, net: net, opt: opt, log: log, receive: receive, state: state, backoff: retryFirst}
 }
--- a/internal/wire/sock/sock.go
+++ b/internal/wire/sock/sock.go
@@ -27,6 +27,11 @@
 	Closed(err error)
 }
 
+// Dialer opens connections whose bytes go to h; see Net.Dial.
+type Dialer interface {
+	Dial(addr string, timeout time.Duration, h Handler, done func(Conn, error))
+}
+
 const (
 	readBuffer  = 32 << 10
 	writeBuffer = 1 << 20 // most that is kept for a peer that does not read
--- a/internal/wire/workerlink/link.go
+++ b/internal/wire/workerlink/link.go
@@ -22,35 +22,24 @@
 	maxRetired = 64              // ids given up on a connection that it keeps from using again
 )
 
-// Dialer opens connections.
-type Dialer interface {
-	Dial(addr string, timeout time.Duration, h sock.Handler, done func(sock.Conn, error))
-}
-
-// Ends takes the ends of attempts and orders; the core is one.
-type Ends interface {
-	Ended(attempt core.Ref, how decide.Outcome, note decide.Note, body []byte)
-	Loaded(order core.Ref, how decide.Outcome, copies int)
-}
-
 // Pool holds the connections to the workers. All of it belongs to the turn.
 type Pool struct {
 	loop  *core.Loop
-	net   Dialer
+	net   sock.Dialer
 	set   *settings.Site
-	ends  Ends
+	ends  core.Ends
 	log   *zap.Logger
 	hosts map[string]*host
 	conns *core.Table[*conn]
 }
 
 // New returns a pool of at most limit connections.
-func New(loop *core.Loop, net Dialer, set *settings.Site, limit int, log *zap.Logger) *Pool {
+func New(loop *core.Loop, net sock.Dialer, set *settings.Site, limit int, log *zap.Logger) *Pool {
 	return &Pool{loop: loop, net: net, set: set, log: log, hosts: map[string]*host{}, conns: core.NewTable[*conn](limit)}
 }
 
 // Serve says who takes the ends.
-func (p *Pool) Serve(e Ends) { p.ends = e }
+func (p *Pool) Serve(e core.Ends) { p.ends = e }
 
 // host is a worker by its id; a new worker at the same address is another host.
 type host struct {
