--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -14,7 +14,12 @@
 
 	"go.uber.org/zap"
 
+	"quillrail/decide"
+	"quillrail/internal/core"
+	"quillrail/internal/wire/mqtt"
 	"quillrail/internal/wire/sock"
+	"quillrail/internal/wire/wiretest"
+	"quillrail/internal/wire/workerlink"
 )
 
 const text = `{"name":"n3","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
@@ -95,6 +100,39 @@
 // A gateway on real sockets: ready, a call served, SIGTERM while another is open, its answer, the end. The clock
 // is the test's, so that the drain takes no time.
 func TestGatewayServesAndDrains(t *testing.T) {
+	for _, side := range []string{"", mqttOn} { // with MQTT and export on, and nobody there to speak to
+		s, err := ParseSide(side)
+		if err != nil {
+			t.Fatal(err)
+		}
+		servesAndDrains(t, s)
+	}
+}
+
+const mqttOn = `enabled = true
+[calls]
+broker = "127.0.0.1:1"
+client_id = "c"
+listen = ["t"]
+session_expiry_s = 9
+keep_alive_s = 9
+[workers]
+broker = "127.0.0.1:1"
+client_id = "w"
+replies = "r"
+keep_alive_s = 9
+[[workers.worker]]
+name = "one"
+topic = "one/calls"
+status = "one/status"
+zone = "x"
+[export]
+enabled = true
+collector = "127.0.0.1:1"
+queue = 10
+`
+
+func servesAndDrains(t *testing.T, side *Side) {
 	hold := make(chan struct{})
 	workers, err := sock.Listen("127.0.0.1:0", 64, func(c sock.Conn) sock.Handler { return &worker{c, hold} }, zap.NewNop())
 	if err != nil {
@@ -105,7 +143,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Side = &Side{}
+	c.Side = side
 	var mu sync.Mutex
 	now := 1000 * time.Hour
 	g, err := Start(c, func() time.Duration { mu.Lock(); defer mu.Unlock(); return now }, zap.NewNop())
@@ -201,3 +239,34 @@
 		}
 	}
 }
+
+// The bulletin knows nothing of the workers that are reached by MQTT: its whole lists must not remove them, and
+// its link must not be asked to connect to them.
+func TestBulletinDoesNotRemoveMQTTWorkers(t *testing.T) {
+	w := wiretest.New(t)
+	site := wiretest.Site()
+	var told []string
+	tell := func(whole bool, members []core.Member) {
+		for _, m := range members {
+			told = append(told, fmt.Sprint(m.Name, whole))
+		}
+	}
+	l := mqtt.NewLink(w.Loop, w, mqtt.Options{Broker: "b"}, "r", []mqtt.Worker{{Name: "mqtt-1", Topic: "t", StatusTopic: "s"}},
+		1, tell, w.Log())
+	f := &fleet{Pool: workerlink.New(w.Loop, w, site, 9, w.Log()), mqtt: l}
+	w.Listen("b", func(c *wiretest.Conn) sock.Handler {
+		c.Write(mqtt.Append(nil, mqtt.Connack, 0, []byte{0, 0, 0}))
+		c.Write(mqtt.AppendPublish(nil, &mqtt.Message{Topic: "s", Payload: []byte("ready")}, 0, 1))
+		return &wiretest.Peer{Conn: c}
+	})
+	l.Connect()
+	w.Run()
+	f.bulletin(tell)(true, []core.Member{{Addr: "a:1", Host: decide.Host{Name: "s-1"}}})
+	if got := strings.Join(told, " "); got != "mqtt-1false s-1true mqtt-1true" {
+		t.Errorf("told %s", got)
+	}
+	f.List(true, []core.Member{{Addr: "t", Host: decide.Host{Name: "mqtt-1"}}})
+	if f.link("mqtt-1") != core.Workers(l) || f.link("s-1") != core.Workers(f.Pool) {
+		t.Error("a worker is sent to on the wrong link")
+	}
+}
