--- a/cmd/drill/wire.go
+++ b/cmd/drill/wire.go
@@ -29,8 +29,6 @@
 	id     int
 	s      *session
 	router *decide.Router
-	infl   string // the report's name for requests in work
-	queue  string
 }
 
 // message is a line cut into its parts. The first fault is kept.
--- a/internal/wire/httpfront/front.go
+++ b/internal/wire/httpfront/front.go
@@ -289,8 +289,9 @@
 
 // toCall reads a call from a request.
 func toCall(r *Request, set *settings.Site) (core.Call, error) {
-	name, ok := strings.CutPrefix(r.Path, "/do/")
-	if name, ok = strings.CutSuffix(name, "/call"); !ok || !strings.HasPrefix(r.Path, "/do/") {
+	rest, inside := strings.CutPrefix(r.Path, "/do/")
+	name, whole := strings.CutSuffix(rest, "/call")
+	if !inside || !whole {
 		return core.Call{}, bad(404, "no such path")
 	}
 	if r.Method != "POST" {
--- a/internal/wire/sock/sock.go
+++ b/internal/wire/sock/sock.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -42,7 +41,6 @@
 // Net runs the sockets of one listener and of any number of dialled connections.
 type Net struct {
 	engine *nbio.Engine
-	open   atomic.Int64
 }
 
 // Listen starts an engine. With an address, accepted connections go to accept, which must not close them yet;
@@ -62,7 +60,6 @@
 		if c.Session() != nil { // dialled
 			return
 		}
-		n.open.Add(1)
 		s := new(session)
 		s.set(accept(c))
 		c.SetSession(s)
@@ -75,7 +72,6 @@
 		}
 	})
 	n.engine.OnClose(func(c *nbio.Conn, err error) {
-		n.open.Add(-1)
 		if s, ok := c.Session().(*session); ok {
 			s.get().Closed(err)
 		}
@@ -97,27 +93,21 @@
 	return n.engine.Addrs[0]
 }
 
-// Open is the number of connections that hold a descriptor.
-func (n *Net) Open() int { return int(n.open.Load()) }
-
 // Dial opens a connection whose bytes go to h. done is called once, with the connection or with an error, on a
 // goroutine of its own; h may be told of the end before that.
 //
 // The connect is the standard library's, since nbio 1.6.8 takes the first four bytes of a 16-byte address and so
 // connects to 0.0.0.0, and reports a refused connect as done; from then on the socket is nbio's.
 func (n *Net) Dial(addr string, timeout time.Duration, h Handler, done func(Conn, error)) {
-	n.open.Add(1)
 	go func() {
 		std, err := net.DialTimeout("tcp", addr, timeout)
 		if err != nil {
-			n.open.Add(-1)
 			done(nil, err)
 			return
 		}
 		c, err := nbio.NBConn(std) // takes a copy of the descriptor and closes std
 		if err != nil {
 			std.Close()
-			n.open.Add(-1)
 			done(nil, err)
 			return
 		}
