Take SIGHUP: move the bulletin feed to the new address; derive the drain from deadlines

The feed's pause before a reconnect was a deadline nobody could cancel (bulletin/feed.go, fail): a move during it would have dialled twice. Half an event counted as a sign of life (feed.go, take); only whole ones do now. Front.Closing dropped a connection whose answer was given in the same turn and not yet flushed.

--- a/cmd/quillrail/main.go
+++ b/cmd/quillrail/main.go
@@ -67,6 +67,9 @@
 	if err != nil {
 		return err
 	}
+	hup := make(chan os.Signal, 1) // before anything else: unhandled, the signal ends the process
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	conf, err := lifecycle.FromEnv(c.String("mqtt"))
 	if err != nil {
 		return err
@@ -84,7 +87,7 @@
 	defer log.Sync()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return lifecycle.Serve(ctx, conf, log)
+	return lifecycle.Serve(ctx, conf, hup, log)
 }
 
 func version() string {
--- a/cmd/quillrail/main_test.go
+++ b/cmd/quillrail/main_test.go
@@ -3,11 +3,72 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 )
 
+const config = `{"name":"n","listen":"127.0.0.1:0","seed":"01","limits":{"cores":1,"memory_mb":64,"sockets":256},"bulletin":"%s",
+ "known":{"no":7,"items":[]},"settings":{"azs":["x"],"kinds":["std"],"balancers":1,"classes":[{"deadline-s":0.5,"effect":
+ "idempotent","key-scope":"all","name":"read","promise-s":0.5}],"policy-limits":{"conn-idle-s":30,"connect-timeout-s":0.25,
+ "streams-per-conn":32,"try-limit":5}}}`
+
+// SIGHUP, with nobody to take it, ends a process. Here it has the bulletin followed where the file says now, from the
+// last event; a file that can't be used changes nothing, and the next one is read again.
+func TestSIGHUP(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "config.json")
+	t.Setenv("NODE_CONFIG", file)
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var bulletins []net.Listener
+	for range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		bulletins = append(bulletins, l)
+	}
+	followed := func(l net.Listener) {
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		var last [8]byte
+		if _, err := io.ReadFull(c, last[:]); err != nil || last[7] != 7 {
+			t.Fatalf("asked for what comes after %v: %v", last, err)
+		}
+	}
+	write(fmt.Sprintf(config, bulletins[0].Addr()))
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- command().Run(ctx, []string{"quillrail", "serve", "--log-level", "error", "--mqtt", dir + "/none"})
+	}()
+	followed(bulletins[0])
+	for _, l := range bulletins[1:] {
+		write("{")
+		syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		write(fmt.Sprintf(config, l.Addr())) // the process reads either text, or a part of this one
+		syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		followed(l)
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // The sub-commands that need no platform, and the one line that a missing configuration gives.
 func TestCommands(t *testing.T) {
 	t.Setenv("NODE_CONFIG", filepath.Join(t.TempDir(), "none.json"))
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -49,6 +49,16 @@
 
 // FromEnv reads the configuration that the platform names in the environment, and the file of the MQTT front.
 func FromEnv(side string) (*Config, error) {
+	c, err := nodeConfig()
+	if err != nil {
+		return nil, err
+	}
+	c.Side, err = ReadSide(side)
+	return c, err
+}
+
+// nodeConfig reads and checks the configuration that the platform names in the environment.
+func nodeConfig() (*Config, error) {
 	path := os.Getenv("NODE_CONFIG")
 	if path == "" {
 		return nil, errors.New("NODE_CONFIG names no file")
@@ -67,10 +77,10 @@
 	if listen := os.Getenv("NODE_LISTEN"); listen != "" {
 		c.Listen = listen
 	}
-	if c.Side, err = ReadSide(side); err != nil {
-		return nil, err
+	if err := c.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	return c, c.check()
+	return c, nil
 }
 
 // ParseConfig reads a configuration.
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -78,6 +78,21 @@
 	}
 }
 
+// The time for the last answers follows from the classes: SIGKILL comes 0.7 s after the longest deadline, of which the
+// platform counts 3 s at most.
+func TestDrainFollowsTheDeadlines(t *testing.T) {
+	for deadline, want := range map[string]time.Duration{"4": 3300 * time.Millisecond, "1.2": 1500 * time.Millisecond} {
+		c, err := ParseConfig([]byte(strings.NewReplacer(`"deadline-s":4`, `"deadline-s":`+deadline, "%WORKER%", "127.0.0.1:2").
+			Replace(text)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := (&Gateway{conf: c}).longest(); got != want {
+			t.Errorf("deadline %s s: %v, want %v", deadline, got, want)
+		}
+	}
+}
+
 // worker is a stand-in on a real socket that answers every call.
 type worker struct {
 	c    sock.Conn
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math"
+	"os"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"time"
@@ -21,8 +23,8 @@
 const (
 	ownSockets   = 32                     // descriptors kept for the process itself
 	keepAccept   = 700 * time.Millisecond // after SIGTERM calls go on coming for so long
-	longestDrain = 3 * time.Second        // the longest deadline that the platform waits for
-	drainMargin  = 400 * time.Millisecond // what is open then is answered, before SIGKILL can come
+	longestDrain = 3 * time.Second        // a longer deadline counts as this to the platform
+	drainMargin  = 400 * time.Millisecond // what is open then is answered, so long before SIGKILL can come
 	lastFlush    = 100 * time.Millisecond // for the last answers to leave the sockets
 	memoryPart   = 0.6                    // of the limit that the Go runtime may take before it collects harder
 )
@@ -37,12 +39,14 @@
 	link  *mqtt.Link      // likewise
 	flows *ipfix.Exporter // nil where the export is off
 	log   *zap.Logger
+	feed  *bulletin.Feed
+	conf  *Config
 	term  bool
 	done  context.CancelFunc
 }
 
-// Serve runs a gateway until ctx ends, then drains it.
-func Serve(ctx context.Context, c *Config, log *zap.Logger) error {
+// Serve runs a gateway until ctx ends, then drains it. Each signal on hup has the configuration read again.
+func Serve(ctx context.Context, c *Config, hup <-chan os.Signal, log *zap.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	debug.SetMemoryLimit(int64(memoryPart * float64(c.MemoryMB) * (1 << 20)))
 	g, err := Start(c, core.WallClock, log)
@@ -52,6 +56,17 @@
 	stop := context.AfterFunc(ctx, func() { g.loop.Post(g.drain) })
 	defer stop()
 	run, cancel := context.WithCancel(context.Background())
+	go func() {
+		for {
+			select {
+			case <-run.Done():
+				return
+			case <-hup:
+				c, err := nodeConfig()
+				g.loop.Post(func() { g.reload(c, err) })
+			}
+		}
+	}()
 	g.loop.Post(func() { g.done = cancel })
 	g.loop.Run(run)
 	log.Info("stopped", zap.Int("open", g.core.Open()))
@@ -66,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{loop: loop, net: net, front: front, log: log}
+	g := &Gateway{loop: loop, net: net, front: front, conf: c, log: log}
 	if err := g.build(c); err != nil {
 		net.Stop()
 		return nil, err
@@ -106,12 +121,12 @@
 		opt, keep := c.Side.callOptions(c.Name)
 		g.calls = mqtt.NewFront(loop, net, g.core, c.Site, opt, keep, c.Seed, observe, log.Named("mqtt.calls"))
 	}
-	feed := bulletin.NewFeed(loop, net, c.Bulletin, c.Site, c.Last, told, log.Named("bulletin"))
+	g.feed = bulletin.NewFeed(loop, net, c.Bulletin, c.Site, c.Last, told, log.Named("bulletin"))
 	loop.Post(func() {
 		for _, e := range c.Known {
 			told(e.Whole, e.Members)
 		}
-		feed.Connect()
+		g.feed.Connect()
 		if g.flows != nil {
 			g.flows.Start()
 		}
@@ -127,6 +142,31 @@
 	return nil
 }
 
+// reload is what SIGHUP does: the bulletin is followed at the address that the configuration names now, and all
+// else goes on. A configuration that can't be used is logged, and the old one stays.
+func (g *Gateway) reload(c *Config, err error) {
+	if err != nil {
+		g.log.Error("configuration not reloaded", zap.Error(err))
+		return
+	}
+	if o := g.conf; c.Listen != o.Listen || c.MemoryMB != o.MemoryMB || c.Sockets != o.Sockets || c.Cores != o.Cores ||
+		!reflect.DeepEqual(c.Site, o.Site) {
+		g.log.Warn("listen, limits and settings stay as they are until a restart")
+	}
+	g.log.Info("configuration reloaded", zap.String("bulletin", c.Bulletin))
+	g.feed.Move(c.Bulletin, c.Known)
+}
+
+// longest is how long after SIGTERM what is open may still be answered. SIGKILL may come keepAccept after the
+// longest deadline of the classes, of which the platform waits for no more than longestDrain.
+func (g *Gateway) longest() time.Duration {
+	most := time.Duration(0)
+	for _, c := range g.conf.Site.Decide.Classes {
+		most = max(most, c.Deadline)
+	}
+	return min(most, longestDrain) + keepAccept - drainMargin
+}
+
 // drain is what SIGTERM does: for a while calls are taken as ever, since the platform goes on sending them;
 // then connections are closed as they fall idle, and the process ends with the last answer.
 func (g *Gateway) drain() {
@@ -136,11 +176,12 @@
 	g.term = true
 	g.log.Info("draining", zap.Int("open", g.core.Open()), zap.Int("clients", g.front.Conns()))
 	g.loop.After(keepAccept, g.finish)
-	g.loop.After(longestDrain+keepAccept-drainMargin, func() {
+	g.loop.After(g.longest(), func() {
 		if n := g.core.Open(); n > 0 {
 			g.log.Warn("out of time", zap.Int("failed", n))
 			g.core.FailAll()
 		}
+		g.front.Closing()
 		g.loop.After(lastFlush, g.stop) // whether or not a broker still owes an acknowledgement
 	})
 }
@@ -160,8 +201,9 @@
 	})
 }
 
-// stop ends the sessions that should not just break off, and the loop.
+// stop ends the sessions that should not just break off, and the loop. What came in at the last is failed.
 func (g *Gateway) stop() {
+	g.core.FailAll()
 	if g.calls != nil {
 		g.calls.Stop()
 	}
--- a/internal/wire/bulletin/bulletin_test.go
+++ b/internal/wire/bulletin/bulletin_test.go
@@ -101,6 +101,54 @@
 	}
 }
 
+// After SIGHUP the feed asks the new address at once for what came after the last event, whatever it is doing: the
+// old one may stay open for a while, be down, or not answer.
+func TestFeedMoves(t *testing.T) {
+	for name, at := range map[string]func(*stand){
+		"following":  func(s *stand) {},
+		"pausing":    func(s *stand) { s.Listen("bulletin", nil); s.last().Close(); s.Run() },
+		"connecting": func(s *stand) { s.Silent["bulletin"] = true; s.last().Close(); s.Pass(retryFirst) },
+	} {
+		s := newStand(t)
+		s.say(frame(5, 2, record(1, 0, 0)))
+		old := s.last()
+		at(s)
+		s.Listen("new", func(c *wiretest.Conn) sock.Handler {
+			s.peers = append(s.peers, &wiretest.Peer{Conn: c})
+			return s.peers[len(s.peers)-1]
+		})
+		known := []Event{{No: 5}, {No: 6, Members: []core.Member{{Addr: "a:1"}}}, {No: 8}}
+		s.feed.Move("new", known)
+		s.Run()
+		if s.last() == old || s.last().Take() != "\x00\x00\x00\x00\x00\x00\x00\x06" || !old.Over || len(s.told) != 2 {
+			t.Fatalf("%s: %d connections, old one over %v, told %v", name, len(s.peers), old.Over, s.told)
+		}
+		n := len(s.peers)
+		s.say(frame(7, 2, record(2, 0, 0)))
+		s.feed.Move("new", known) // the same again changes nothing
+		for range 10 {            // nor does what was left of the old address
+			s.Pass(time.Second)
+			s.say(frame(7, 0))
+		}
+		if len(s.peers) != n || len(s.told) != 3 {
+			t.Errorf("%s: %d connections, was %d; told %d", name, len(s.peers), n, len(s.told))
+		}
+	}
+}
+
+// An event of which pieces go on coming is none: the connection counts as silent.
+func TestHalfAnEventIsSilence(t *testing.T) {
+	s := newStand(t)
+	b, n := frame(5, 2, record(1, 0, 0)), len(s.peers)
+	for i := range 6 {
+		s.say(b[i : i+1])
+		s.Pass(500 * time.Millisecond)
+	}
+	if len(s.peers) == n {
+		t.Error("still waiting for the rest")
+	}
+}
+
 func TestBulletinUnreachable(t *testing.T) {
 	s := newStand(t)
 	s.last().Close()
--- a/internal/wire/bulletin/feed.go
+++ b/internal/wire/bulletin/feed.go
@@ -101,7 +101,9 @@
 	if try != f.try {
 		return
 	}
-	f.alive(try)
+	if len(got) > 0 { // half an event, however slowly it goes on, is no sign of life
+		f.alive(try)
+	}
 	for _, e := range got {
 		if f.lost != 0 {
 			f.log.Info("bulletin is back", zap.Duration("after", f.loop.Now()-f.lost), zap.Uint64("last", f.last))
@@ -131,12 +133,36 @@
 		f.lost = f.loop.Now()
 		f.log.Warn("bulletin lost", zap.Uint64("last", f.last), zap.Error(why))
 	}
-	f.try++ // whatever comes of this connection is too late
+	f.drop()
+	f.watch = f.loop.After(f.backoff, f.Connect)
+	f.backoff = min(2*f.backoff, retryMost)
+}
+
+// Move follows the bulletin at another address from now on, from the last event taken. It guards against what a
+// new configuration brings: the old address tells nothing more, though its connection may stay open. Known is
+// what the new configuration holds; what the feed has not told yet of it is told at once.
+func (f *Feed) Move(addr string, known []Event) {
+	for _, e := range known {
+		if e.No > f.last && (e.Whole || e.No == f.last+1) {
+			f.last = e.No
+			f.tell(e.Whole, e.Members)
+		}
+	}
+	if addr == f.addr {
+		return
+	}
+	f.log.Info("bulletin moved", zap.String("from", f.addr), zap.String("to", addr), zap.Uint64("last", f.last))
+	f.addr, f.backoff = addr, retryFirst
+	f.drop()
+	f.Connect()
+}
+
+// drop ends the connection, a connect under way or the pause before one; whatever still comes of it is too late.
+func (f *Feed) drop() {
+	f.try++
 	f.loop.Cancel(f.watch)
 	if f.conn != nil {
 		f.conn.Close()
 		f.conn = nil
 	}
-	f.loop.After(f.backoff, f.Connect)
-	f.backoff = min(2*f.backoff, retryMost)
 }
--- a/internal/wire/httpfront/front.go
+++ b/internal/wire/httpfront/front.go
@@ -53,7 +53,10 @@
 func (f *Front) Closing() {
 	f.closing = true
 	f.conns.Each(func(_ core.Ref, c *conn) {
-		if c.open == nil {
+		if c.open != nil {
+			return
+		}
+		if c.last = len(c.out) > 0; !c.last { // an answer of this very turn still has to go out
 			c.drop()
 		}
 	})
