--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -38,6 +38,7 @@
 	Broken Failure = iota // the module gave up
 	TimedOut
 	Overloaded // the tables are full
+	Duplicate  // a request with this id is open
 )
 
 // Attempt is one sending of a Call to a worker.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,6 +25,7 @@
 	timeout  time.Duration // of orders
 
 	requests *Table[*request]
+	ids      map[string]Ref // of the open requests, as the clients wrote them
 	attempts *Table[*attempt]
 	orders   *Table[*order]
 
@@ -60,7 +61,7 @@
 // New returns a Core on loop. observe may be nil.
 func New(loop *Loop, set decide.Settings, seed uint64, workers Workers, observe Observer, log *zap.Logger) (*Core, error) {
 	c := &Core{loop: loop, log: log, workers: workers, observe: observe, maxPause: set.MaxRetryAfter,
-		timeout: set.OrderTimeout, requests: NewTable[*request](maxRequests),
+		timeout: set.OrderTimeout, requests: NewTable[*request](maxRequests), ids: map[string]Ref{},
 		attempts: NewTable[*attempt](maxRequests * max(1, set.MaxAttempts)), orders: NewTable[*order](maxOrders)}
 	c.inside = true
 	var err error
@@ -99,12 +100,16 @@
 // Take takes in a request. The Ref it returns is zero when the request was answered at once.
 func (c *Core) Take(call Call) Ref {
 	r := &request{call: call, start: c.loop.Now(), deadline: c.loop.Now() + call.Wait}
+	if _, open := c.ids[call.ID]; open { // two would be one to the workers, and each take the other's answer
+		call.Reply.Failed(Duplicate)
+		return 0
+	}
 	ref, ok := c.requests.Put(r)
 	if !ok {
 		call.Reply.Refused(0)
 		return 0
 	}
-	r.ref = ref
+	r.ref, c.ids[call.ID] = ref, ref
 	r.over = c.loop.Set(r.deadline+backstop, func() { c.expire(r) })
 	c.handle(decide.Arrival{ID: uint64(ref), Class: call.Class, Tenant: call.Tenant, Function: call.Function,
 		TTL: call.Wait, Work: call.Work, MemoryMB: call.MemoryMB, Lanes: call.Lanes, LoadTime: call.LoadTime,
@@ -143,6 +148,7 @@
 func (c *Core) close(r *request, answer string) {
 	c.loop.Cancel(r.over)
 	c.requests.Free(r.ref)
+	delete(c.ids, r.call.ID)
 	if c.observe != nil {
 		c.observe(Record{Call: &r.call, Bytes: len(r.call.Body), Start: r.start, End: c.loop.Now(), Answer: answer, Attempts: len(r.shots),
 			Host: r.last})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -66,6 +66,24 @@
 	b.core.Ended(a.Ref, how, decide.FoundWarm, []byte("body"))
 }
 
+// A second request under the id of an open one is turned away: to a worker the two would be one.
+func TestIdOfAnOpenRequest(t *testing.T) {
+	b := newBench(t)
+	first := b.call(0, 4*time.Second)
+	id := b.out[0].Call.ID
+	for _, want := range []string{"[failed]", "[]"} { // while it is open, and after
+		again := &wiretest.Replies{}
+		b.core.Take(core.Call{ID: id, Wait: time.Second, Function: "other", Lanes: 1, Reply: again})
+		if got := fmt.Sprint(again.Answers); got != want {
+			t.Errorf("answered %s, want %s", got, want)
+		}
+		b.end(0, decide.Good)
+	}
+	if len(first.Answers) != 1 {
+		t.Errorf("the first was answered %q", first.Answers)
+	}
+}
+
 func TestServedOnce(t *testing.T) {
 	b := newBench(t)
 	r := b.call(0, 4*time.Second)
--- a/internal/wire/form/form.go
+++ b/internal/wire/form/form.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	maxNumber  = 1e9
-	maxWaitMs  = 3600e3
+	maxNumber  = 1e6 // a quarter of an hour of work, a terabyte: more is a mistake
+	maxWait    = 10  // times the deadline of the class
 	maxKeySize = 128
 	maxLanes   = 1024
 )
@@ -55,11 +55,14 @@
 	if r.Key == "" && site.Keyed(call.Class) {
 		return call, errors.New("this class needs a key")
 	}
-	wait, err := number(r.WaitMs, maxWaitMs)
+	wait, err := number(r.WaitMs, maxWait*float64(site.Decide.Classes[call.Class].Deadline.Milliseconds()))
 	if err != nil || wait <= 0 {
 		return call, errors.New("the time to wait is not a number of milliseconds")
 	}
-	call.Wait, call.Repeat = milliseconds(wait), r.Retry != ""
+	if r.Retry != "" && r.Retry != "0" && r.Retry != "1" {
+		return call, errors.New("the mark of a retry is neither 0 nor 1")
+	}
+	call.Wait, call.Repeat = milliseconds(wait), r.Retry == "1"
 	if r.CostMs != "" {
 		cost, err := number(r.CostMs, maxNumber)
 		if err != nil {
@@ -87,7 +90,10 @@
 		case "memory_mb":
 			call.MemoryMB = x
 		case "lanes":
-			call.Lanes = int(min(x, maxLanes))
+			if x < 1 || x > maxLanes || x != math.Trunc(x) {
+				return errors.New("lanes is no whole number from 1 to 1024")
+			}
+			call.Lanes = int(x)
 		case "load_ms":
 			call.LoadTime = milliseconds(x)
 		}
--- a/internal/wire/httpfront/front.go
+++ b/internal/wire/httpfront/front.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,11 +17,15 @@
 )
 
 const (
-	idleLimit = 30 * time.Second // a connection with no open request
-	readLimit = 10 * time.Second // for the rest of a request that has begun
-	pipelined = 4                // requests that may wait on one connection behind the open one
+	idleLimit   = 30 * time.Second        // a connection with no open request
+	readLimit   = 2500 * time.Millisecond // for a connection's first request, and for the rest of one that has begun
+	lingerLimit = 500 * time.Millisecond  // and
+	lingerBytes = 4 << 20                 // for what still comes on a connection whose last answer has been given
+	pipelined   = 4                       // requests that may wait on one connection behind the open one
 )
 
+var errSpilt = errors.New("more input than is worth discarding")
+
 // Taker is the part of the core that a front needs.
 type Taker interface {
 	Take(core.Call) core.Ref
@@ -34,13 +39,15 @@
 	set     *settings.Site
 	log     *zap.Logger
 	conns   *core.Table[*conn]
+	soft    int // connections from which on a new one takes the place of one that does nothing
 	ready   bool
 	closing bool
 }
 
-// New returns a front that holds at most limit connections.
+// New returns a front that holds at most limit connections, and from two thirds of it on as few idle ones as it can:
+// clients that hold theirs for good must not use up what the platform lets clients connect.
 func New(loop *core.Loop, set *settings.Site, limit int, log *zap.Logger) *Front {
-	return &Front{loop: loop, set: set, log: log, conns: core.NewTable[*conn](limit)}
+	return &Front{loop: loop, set: set, log: log, conns: core.NewTable[*conn](limit), soft: max(1, limit*2/3)}
 }
 
 // Serve makes the front answer: /check is 200 from now on.
@@ -62,18 +69,22 @@
 	})
 }
 
-// conn is one client's connection. The parser and bad belong to the I/O goroutine, the rest to the turn.
+// conn is one client's connection. The parser and spilt belong to the I/O goroutine, the rest to the turn.
 type conn struct {
 	f      *Front
 	sock   sock.Conn
 	parser Parser
-	bad    bool
+	spilt  int         // bytes read and discarded
+	shut   atomic.Bool // nothing more is taken: the last answer is under way
 
 	ref   core.Ref
 	open  *exchange // the request that is being answered
 	queue []*Request
 	out   []byte
+	fresh bool // no whole request has come yet
+	busy  bool // part of a request has come
 	last  bool // close once out is written
+	spill bool // but read and discard for a while before: a close with input unread would take the answer back
 	gone  bool
 	timer *core.Deadline
 }
@@ -87,19 +98,24 @@
 
 // Accept takes a new connection; called on an I/O goroutine.
 func (f *Front) Accept(s sock.Conn) sock.Handler {
-	c := &conn{f: f, sock: s}
+	c := &conn{f: f, sock: s, fresh: true}
 	f.loop.Post(c.opened)
 	return c
 }
 
 func (c *conn) Data(b []byte) error {
-	if c.bad {
-		return nil // the answer that closes the connection is under way
+	if c.shut.Load() {
+		if c.spilt += len(b); c.spilt > lingerBytes {
+			return errSpilt
+		}
+		return nil
 	}
 	var got []*Request
 	err := c.parser.Feed(b, func(r *Request) { got = append(got, r) })
 	busy := !c.parser.Idle()
-	c.bad = err != nil
+	if err != nil {
+		c.shut.Store(true)
+	}
 	c.f.loop.Post(func() { c.take(got, busy, err) })
 	return nil
 }
@@ -107,19 +123,10 @@
 func (c *conn) Closed(error) { c.f.loop.Post(c.closed) }
 
 func (c *conn) opened() {
-	ref, ok := c.f.conns.Put(c)
-	if !ok { // the longest idle one makes room, if there is any
-		var idlest *conn
-		c.f.conns.Each(func(_ core.Ref, o *conn) {
-			if o.open == nil && (idlest == nil || o.timer.Before(idlest.timer)) {
-				idlest = o
-			}
-		})
-		if idlest != nil {
-			idlest.drop()
-			ref, ok = c.f.conns.Put(c)
-		}
+	if c.f.conns.Len() >= c.f.soft {
+		c.f.makeRoom()
 	}
+	ref, ok := c.f.conns.Put(c)
 	if !ok {
 		c.f.log.Warn("too many client connections", zap.Int("open", c.f.conns.Len()))
 		c.gone = true
@@ -127,40 +134,80 @@
 		return
 	}
 	c.ref = ref
-	c.rest(idleLimit)
+	c.rest(readLimit)
 }
 
-// rest sets the time after which a connection without an open request is closed.
+// makeRoom closes the oldest of the connections that have asked nothing yet, or the one that is idle longest,
+// whichever are more: neither a crowd of silent clients pushes out the usual ones, nor the other way round.
+func (f *Front) makeRoom() {
+	var oldest [2]*conn
+	var count [2]int
+	f.conns.Each(func(_ core.Ref, o *conn) {
+		if o.open != nil || len(o.out) > 0 {
+			return
+		}
+		kind := 0
+		if o.fresh || o.last {
+			kind = 1
+		}
+		if count[kind]++; oldest[kind] == nil || o.timer.Before(oldest[kind].timer) {
+			oldest[kind] = o
+		}
+	})
+	victim := oldest[0]
+	if count[1] > count[0] {
+		victim = oldest[1]
+	}
+	if victim != nil {
+		victim.drop()
+	}
+}
+
+// rest sets the time after which a connection without an open request is closed. Half a request gets an answer.
 func (c *conn) rest(d time.Duration) {
 	c.f.loop.Cancel(c.timer)
 	c.timer = c.f.loop.After(d, func() {
-		if c.open == nil {
-			c.drop()
+		if c.busy && !c.last {
+			c.spill = true
+			c.respond(408, "", nil, true)
+			return
 		}
+		c.drop()
 	})
 }
 
+// settle is rest after an answer: for the next request, of which a part may be there.
+func (c *conn) settle() {
+	if c.busy {
+		c.rest(readLimit)
+	} else {
+		c.rest(idleLimit)
+	}
+}
+
 func (c *conn) take(got []*Request, busy bool, err error) {
-	if c.gone {
+	if c.gone || c.last {
 		return
 	}
 	if len(c.queue)+len(got) > pipelined {
 		err, got = bad(400, "too many requests at once"), nil
 	}
 	c.queue = append(c.queue, got...)
-	if busy && c.open == nil && len(got) == 0 && err == nil {
+	c.fresh = c.fresh && len(got) == 0
+	if busy && !c.busy && !c.fresh && c.open == nil && len(got) == 0 { // from its first byte on, not from each
 		c.rest(readLimit)
 	}
+	c.busy = busy
 	c.next()
 	if err != nil {
 		c.f.log.Info("bad request", zap.Error(err))
-		c.queue = nil
-		if c.open != nil { // its client breaks the protocol in the middle of a call
-			c.drop()
-			return
-		}
-		b := err.(*BadRequest)
+		c.queue, c.spill = nil, true
+		b, x := err.(*BadRequest), c.open
+		c.open = nil
 		c.respond(b.Status, "", []byte(b.Text+"\n"), true)
+		if x != nil { // its client breaks the protocol in the middle of a call, and has its answer
+			c.f.core.Gone(x.req)
+		}
 	}
 }
 
@@ -181,6 +228,7 @@
 		} else {
 			c.respond(503, "Srv-Wait-Ms: 100\r\n", nil, last)
 		}
+		c.settle()
 		return
 	}
 	call, err := toCall(r, c.f.set)
@@ -188,10 +236,12 @@
 		b := err.(*BadRequest)
 		c.f.log.Info("bad call", zap.String("path", r.Path), zap.Error(err))
 		c.respond(b.Status, "", []byte(b.Text+"\n"), last)
+		c.settle()
 		return
 	}
 	if !c.f.ready {
 		c.respond(503, "Srv-Wait-Ms: 100\r\n", nil, last)
+		c.settle()
 		return
 	}
 	x := &exchange{c: c, last: last}
@@ -222,7 +272,7 @@
 }
 
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	411: "Length Required", 413: "Content Too Large", 431: "Request Header Fields Too Large", 502: "Bad Gateway",
+	408: "Request Timeout", 409: "Conflict", 411: "Length Required", 413: "Content Too Large", 431: "Request Header Fields Too Large", 502: "Bad Gateway",
 	503: "Service Unavailable", 504: "Gateway Timeout"}
 
 func (c *conn) respond(status int, fields string, body []byte, last bool) {
@@ -239,6 +289,7 @@
 	if last {
 		c.out = append(c.out, "Connection: close\r\n"...)
 		c.last = true
+		c.shut.Store(true)
 	}
 	c.out = append(c.out, "Content-Length: "...)
 	c.out = strconv.AppendInt(c.out, int64(len(body)), 10)
@@ -253,8 +304,11 @@
 	if c.out = c.out[:0]; cap(c.out) > maxBody {
 		c.out = nil
 	}
-	if err != nil || c.last {
+	switch {
+	case err != nil || c.last && !c.spill:
 		c.drop()
+	case c.last:
+		c.rest(lingerLimit)
 	}
 }
 
@@ -266,7 +320,7 @@
 	c.open = nil
 	c.respond(status, fields, body, x.last || c.f.closing)
 	if !c.gone {
-		c.rest(idleLimit)
+		c.settle()
 		c.next()
 	}
 }
@@ -283,11 +337,14 @@
 
 // Failed promises nothing.
 func (x *exchange) Failed(why core.Failure) {
-	if why == core.TimedOut {
+	switch why {
+	case core.TimedOut:
 		x.end(504, "", nil)
-		return
+	case core.Duplicate:
+		x.end(409, "", []byte("the request id is open\n"))
+	default:
+		x.end(502, "", nil)
 	}
-	x.end(502, "", nil)
 }
 
 // toCall reads a call from a request.
@@ -300,6 +357,9 @@
 	if r.Method != "POST" {
 		return core.Call{}, bad(405, "a call is a POST")
 	}
+	if r.Twice != "" {
+		return core.Call{}, bad(400, "two values of %s", r.Twice)
+	}
 	h := r.Header
 	call, err := form.Raw{Function: name, ID: h["req-id"], Class: h["x-class"], Tenant: h["req-owner"],
 		Key: h["req-token"], WaitMs: h["req-wait-ms"], CostMs: h["req-cost"], Tags: h["x-tags"],
--- a/internal/wire/httpfront/parser.go
+++ b/internal/wire/httpfront/parser.go
@@ -17,7 +17,8 @@
 // Request is one HTTP request as read from a connection.
 type Request struct {
 	Method, Path string
-	Header       map[string]string // names in lower case; the last of a repeated one
+	Header       map[string]string // names in lower case
+	Twice        string            // a name that stands there with two values
 	Body         []byte
 	Close        bool // the client asked for the connection to be closed after the answer
 }
@@ -81,6 +82,11 @@
 	return p.err
 }
 
+// notInName reports whether a character may not stand in a header's name.
+func notInName(c rune) bool {
+	return c <= ' ' || c >= 0x7f || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, c)
+}
+
 func parseHead(head string) (*Request, int, error) {
 	line, rest, _ := strings.Cut(head, "\r\n")
 	method, target, ok := strings.Cut(line, " ")
@@ -95,15 +101,18 @@
 	for rest != "" {
 		line, rest, _ = strings.Cut(rest, "\r\n")
 		name, value, ok := strings.Cut(line, ":")
-		if !ok || name == "" || strings.ContainsAny(name, " \t") {
+		if !ok || name == "" || strings.ContainsFunc(name, notInName) {
 			return nil, 0, bad(400, "header line")
 		}
 		name, value = strings.ToLower(name), strings.Trim(value, " \t")
 		if strings.ContainsAny(value, "\r\n\x00") {
 			return nil, 0, bad(400, "header value")
 		}
-		if old, again := r.Header[name]; again && name == "content-length" && old != value {
-			return nil, 0, bad(400, "two lengths")
+		if old, again := r.Header[name]; again && old != value { // which one counts would be anybody's guess
+			if name == "content-length" {
+				return nil, 0, bad(400, "two lengths")
+			}
+			r.Twice = name
 		}
 		r.Header[name] = value
 	}
--- a/internal/wire/mqtt/front.go
+++ b/internal/wire/mqtt/front.go
@@ -236,5 +236,8 @@
 	if why == core.TimedOut {
 		text = "out of time"
 	}
+	if why == core.Duplicate {
+		text = "the id is that of an open call"
+	}
 	x.close(core.Answer{What: failed, Why: text})
 }
