Worker connections: end half answers, avoid silent ones, never use an id twice

Seen in workerlink/link.go: an answer that stops half way was waited for until each call's deadline while pick went on preferring that connection as the fullest; answered ids were not remembered (answer), so a copy of a BUSY or ERR could end the next attempt under the same id, and one ahead of its call likewise; 64 ids given up were forgotten all at once. parser.go took an OK without a length for an empty body. Each is shown by a test that fails before.

--- a/internal/wire/workerlink/link.go
+++ b/internal/wire/workerlink/link.go
@@ -17,9 +17,10 @@
 )
 
 const (
-	connsEach  = 8               // connections to one worker
-	idleMargin = 3 * time.Second // we close so long before the worker would, or a call could cross its close
-	maxRetired = 64              // ids given up on a connection that it keeps from using again
+	connsEach  = 8                      // connections to one worker
+	idleMargin = 3 * time.Second        // we close so long before the worker would, or a call could cross its close
+	maxUsed    = 256                    // ids that a connection remembers, so as not to use them again
+	stallLimit = 300 * time.Millisecond // an answer that has begun is whole by then, or never
 )
 
 // Pool holds the connections to the workers. All of it belongs to the turn.
@@ -62,8 +63,26 @@
 	calls  []span              // the calls in out, while it waits for the connection
 	open   map[string]core.Ref // attempts by the id spoken on the wire
 	orders map[string]core.Ref
-	// retired are ids given up here: a late answer to one must not be taken for that of a later attempt.
-	retired map[string]bool
+	stall  *core.Deadline             // of an answer that has begun
+	heard  time.Duration              // when something last came
+	sent   map[core.Ref]time.Duration // when the open attempts were given to it
+	quiet  bool                       // has let an attempt end without a word: gets no other until it speaks
+	// used are ids answered or given up here, or answered before they were asked: what may still come under one
+	// must not be taken for the answer to a later attempt. ring has them in order.
+	used map[string]bool
+	ring []string
+}
+
+// retire has an id not used again on the connection, as far as it remembers.
+func (c *conn) retire(id string) {
+	if c.used[id] {
+		return
+	}
+	if len(c.ring) >= maxUsed {
+		delete(c.used, c.ring[0])
+		c.ring = append(c.ring[:0], c.ring[1:]...)
+	}
+	c.used[id], c.ring = true, append(c.ring, id)
 }
 
 // span is where a call stands in out.
@@ -81,14 +100,18 @@
 func (r *reader) Data(b []byte) error {
 	var got []Answer
 	err := r.parser.Feed(b, func(a Answer) { got = append(got, a) })
+	begun := !r.parser.Idle()
 	c := r.c
 	c.p.loop.Post(func() {
+		c.heard, c.quiet = c.p.loop.Now(), false
 		for _, a := range got {
 			c.answer(a)
 		}
 		if err != nil {
 			c.fail(decide.Reset, err)
+			return
 		}
+		c.half(begun, len(got) > 0)
 	})
 	return err
 }
@@ -98,6 +121,18 @@
 	c.p.loop.Post(func() { c.fail(decide.Reset, err) })
 }
 
+// half watches an answer of which a part has come. One that stops there makes the connection useless for all that is
+// open on it, since whatever comes next would be read as the rest.
+func (c *conn) half(begun, moved bool) {
+	if moved || !begun {
+		c.p.loop.Cancel(c.stall)
+		c.stall = nil
+	}
+	if begun && c.stall == nil && !c.ended {
+		c.stall = c.p.loop.After(stallLimit, func() { c.fail(decide.Reset, errors.New("half an answer")) })
+	}
+}
+
 // List takes the workers' addresses. A worker that restarted or moved, or whose address another one has taken,
 // has its connections closed: nothing that is still said on them may count for the new one.
 func (p *Pool) List(whole bool, members []core.Member) {
@@ -146,7 +181,7 @@
 	id := a.Call.ID
 	c := h.pick(func(c *conn) bool {
 		_, twice := c.open[id]
-		return len(c.open) < max(1, p.set.Streams) && !twice && !c.retired[id]
+		return len(c.open) < max(1, p.set.Streams) && !twice && !c.used[id] && !c.quiet
 	})
 	if c == nil {
 		if c = p.dial(h); c == nil {
@@ -165,7 +200,7 @@
 	}
 	c.out = strconv.AppendInt(append(c.out, ' '), int64(len(a.Call.Body)), 10)
 	c.out = append(append(append(c.out, "\r\n"...), a.Call.Body...), "\r\n"...)
-	c.open[id] = a.Ref
+	c.open[id], c.sent[a.Ref] = a.Ref, p.loop.Now()
 	if !c.ready {
 		c.calls = append(c.calls, span{a.Ref, start, len(c.out)})
 	}
@@ -189,7 +224,7 @@
 		return nil
 	}
 	c := &conn{p: p, h: h, open: map[string]core.Ref{}, orders: map[string]core.Ref{},
-		retired: map[string]bool{}}
+		used: map[string]bool{}, sent: map[core.Ref]time.Duration{}}
 	ref, ok := p.conns.Put(c)
 	if !ok && p.closeIdle() {
 		ref, ok = p.conns.Put(c)
@@ -252,6 +287,14 @@
 	}
 	c.p.loop.Cancel(c.timer)
 	if len(c.open)+len(c.orders) == 0 {
+		if c.quiet { // nothing is lost with it, and it may never speak again
+			c.p.loop.Dirty(func() { // once the CANCEL is written
+				if c.quiet && len(c.open)+len(c.orders) == 0 {
+					c.fail(decide.Reset, errors.New("silent"))
+				}
+			})
+			return
+		}
 		c.timer = c.p.loop.After(max(time.Second, c.p.set.ConnIdle-idleMargin), func() { c.fail(decide.Reset, nil) })
 	}
 }
@@ -279,6 +322,7 @@
 		how = decide.NoConn
 	}
 	c.p.loop.Cancel(c.timer)
+	c.p.loop.Cancel(c.stall)
 	c.p.conns.Free(c.ref)
 	for i, o := range c.h.conns {
 		if o == c {
@@ -319,15 +363,17 @@
 	}
 	if ref, ok := c.open[a.ID]; ok {
 		delete(c.open, a.ID)
+		delete(c.sent, ref)
+		c.retire(a.ID)
 		c.rest()
 		c.p.ends.Ended(ref, how, note, a.Body)
 	} else if ref, ok := c.orders[a.ID]; ok {
 		delete(c.orders, a.ID)
+		c.retire(a.ID)
 		c.rest()
 		c.p.ends.Loaded(ref, how, a.Pods)
-	} else if c.retired[a.ID] {
-		delete(c.retired, a.ID)
-	} else {
+	} else if !c.used[a.ID] {
+		c.retire(clip(a.ID))
 		c.p.log.Warn("answer to nothing that is open", zap.String("worker", c.h.name), zap.String("word", a.Word))
 	}
 }
@@ -344,13 +390,13 @@
 				continue
 			}
 			delete(c.open, id)
+			at := c.sent[ref]
+			delete(c.sent, ref)
 			if c.takeBack(ref) {
 				return
 			}
-			if len(c.retired) >= maxRetired {
-				clear(c.retired)
-			}
-			c.retired[id] = true
+			c.retire(id)
+			c.quiet = c.quiet || c.ready && c.heard < at && p.loop.Now()-at >= stallLimit
 			c.busy()
 			c.out = append(append(append(c.out, "CANCEL "...), id...), "\r\n"...)
 			c.rest()
@@ -382,7 +428,7 @@
 		p.ends.Loaded(ref, decide.NoConn, 0)
 		return
 	}
-	c := h.pick(func(*conn) bool { return true })
+	c := h.pick(func(c *conn) bool { return !c.quiet })
 	if c == nil {
 		if c = p.dial(h); c == nil {
 			p.ends.Loaded(ref, decide.NoConn, 0)
@@ -402,7 +448,7 @@
 		for _, c := range h.conns {
 			if _, ok := c.orders[tag]; ok {
 				delete(c.orders, tag)
-				c.retired[tag] = true
+				c.retire(tag)
 				c.rest()
 			}
 		}
--- a/internal/wire/workerlink/parser.go
+++ b/internal/wire/workerlink/parser.go
@@ -33,6 +33,9 @@
 
 var errBody = errors.New("an answer's body does not end in CR LF")
 
+// Idle reports whether nothing of an answer has come yet.
+func (p *Parser) Idle() bool { return p.err == nil && p.head == nil && len(p.buf) == 0 }
+
 // Feed takes the next bytes and calls emit for every answer that is whole.
 func (p *Parser) Feed(b []byte, emit func(Answer)) error {
 	if p.err != nil {
@@ -52,17 +55,15 @@
 			}
 			continue
 		}
-		if p.need >= 0 { // a body and its CR LF
-			if len(rest) < p.need+2 {
-				break
-			}
-			if rest[p.need] != '\r' || rest[p.need+1] != '\n' {
-				p.err = errBody
-				break
-			}
-			p.head.Body = append([]byte(nil), rest[:p.need]...)
-			rest = rest[p.need+2:]
+		if len(rest) < p.need+2 { // the body and its CR LF
+			break
+		}
+		if rest[p.need] != '\r' || rest[p.need+1] != '\n' {
+			p.err = errBody
+			break
 		}
+		p.head.Body = append([]byte(nil), rest[:p.need]...)
+		rest = rest[p.need+2:]
 		a := *p.head
 		p.head = nil
 		emit(a)
@@ -75,14 +76,15 @@
 	return p.err
 }
 
-// parseLine reads ID WORD [FIELDS [LENGTH]]; the length is -1 where none is told.
+// parseLine reads ID WORD FIELDS LENGTH. A line cut short is no answer: an OK without a length would pass for an
+// empty body.
 func parseLine(line string) (*Answer, int, error) {
 	words := strings.Split(line, " ")
-	if len(words) < 2 || len(words) > 4 || words[0] == "" || words[1] == "" {
+	if len(words) != 4 || words[0] == "" || words[1] == "" {
 		return nil, 0, fmt.Errorf("%q is not an answer", clip(line))
 	}
 	a := &Answer{ID: words[0], Word: words[1]}
-	if len(words) > 2 && words[2] != "-" {
+	if words[2] != "-" {
 		for _, pair := range strings.Split(words[2], ",") {
 			name, value, ok := strings.Cut(pair, "=")
 			if !ok {
@@ -100,9 +102,6 @@
 			}
 		}
 	}
-	if len(words) < 4 {
-		return a, -1, nil
-	}
 	n, err := strconv.ParseUint(words[3], 10, 31)
 	if err != nil || n > maxAnswer {
 		return nil, 0, fmt.Errorf("%q is not a length up to %d", clip(words[3]), maxAnswer)
--- a/internal/wire/workerlink/workerlink_test.go
+++ b/internal/wire/workerlink/workerlink_test.go
@@ -132,6 +132,98 @@
 	}
 }
 
+// A copy of an answer, and one that comes before its call, must not end an attempt that goes out under its id later.
+func TestAnswersUnderAnIdThatIsUsedAgain(t *testing.T) {
+	for name, early := range map[string]bool{"copy": false, "ahead": true} {
+		r := newRig(t)
+		other := r.send("wa", "y") // brings the connection up
+		p := r.peers["a:1"][0]
+		if early {
+			p.Write([]byte("x BUSY - 0\r\n\r\n"))
+			r.Run()
+		} else {
+			first := r.send("wa", "x")
+			p.Write([]byte("x BUSY - 0\r\n\r\n"))
+			r.Run()
+			r.want(first, decide.Full)
+		}
+		again := r.send("wa", "x")
+		p.Write([]byte("x BUSY - 0\r\n\r\n"))
+		r.Run()
+		r.want(again)
+		r.want(other)
+		if len(r.peers["a:1"]) != 2 {
+			t.Fatalf("%s: %d connections", name, len(r.peers["a:1"]))
+		}
+		r.peers["a:1"][1].Write([]byte("x OK - 0\r\n\r\n"))
+		r.Run()
+		r.want(again, decide.Good)
+		for i := range 2 * maxUsed { // and what is remembered is bounded
+			p.Write(fmt.Appendf(nil, "n%d OK - 0\r\n\r\n", i))
+		}
+		r.Run()
+		for c := range r.pool.hosts["wa"].conns {
+			if n := len(r.pool.hosts["wa"].conns[c].used); n > maxUsed {
+				t.Errorf("%d ids are remembered", n)
+			}
+		}
+	}
+}
+
+// An answer that stops half way, whether or not bytes trickle on, ends all that is open on its connection, and soon.
+func TestHalfAnAnswer(t *testing.T) {
+	r := newRig(t)
+	a, b := r.send("wa", "1"), r.send("wa", "2")
+	p := r.peers["a:1"][0]
+	p.Write([]byte("1 OK - 900\r\nabc"))
+	for range 4 {
+		r.Pass(stallLimit / 4)
+		p.Write([]byte("x"))
+	}
+	r.Run()
+	r.want(a, decide.Reset)
+	r.want(b, decide.Reset)
+	c := r.send("wa", "3")
+	p = r.peers["a:1"][1]
+	p.Write([]byte("3 OK - 1\r\n"))
+	r.Pass(stallLimit / 2)
+	p.Write([]byte("x\r\n"))
+	r.Run()
+	r.want(c, decide.Good)
+	r.Pass(time.Second)
+	if p.Over {
+		t.Error("closed though the answer became whole")
+	}
+}
+
+// A connection on which an attempt ended without a word gets no other until it speaks, though it is the fullest, and
+// is closed when nothing is open on it.
+func TestSilentConnectionIsAvoided(t *testing.T) {
+	r := newRig(t)
+	a, b := r.send("wa", "1"), r.send("wa", "2")
+	r.Pass(time.Second)
+	r.pool.Cancel("wa", a)
+	c := r.send("wa", "3")
+	if len(r.peers["a:1"]) != 2 || strings.Contains(r.peers["a:1"][0].Take(), "CALL 3") {
+		t.Fatalf("%d connections", len(r.peers["a:1"]))
+	}
+	r.pool.Cancel("wa", b)
+	if r.Run(); !r.peers["a:1"][0].Over || r.peers["a:1"][1].Over {
+		t.Error("the silent connection is kept, or the other is not")
+	}
+	d := r.send("wa", "4")
+	r.Pass(time.Second)
+	p := r.peers["a:1"][1]
+	p.Write([]byte("3 OK - 0\r\n\r\n"))
+	r.Run()
+	r.want(c, decide.Good)
+	r.pool.Cancel("wa", d) // it has spoken since
+	e := r.send("wa", "5")
+	if r.want(e); len(r.peers["a:1"]) != 2 {
+		t.Error("a connection that answers is avoided")
+	}
+}
+
 // A worker's successor at the same address must not be taken for it, nor a restarted one for what it was.
 func TestAddressUsedAgain(t *testing.T) {
 	r := newRig(t)
@@ -146,7 +238,8 @@
 
 func TestGarbageClosesTheConnection(t *testing.T) {
 	for _, text := range []string{"hello\r\n", "1 OK detail=odd 0\r\n\r\n", "1 WHAT - 0\r\n\r\n", "1 OK - 5\r\nabc\r\n12\r\n",
-		"1 OK - 99999999\r\n", "1 OK - -1\r\n", "1 OK x 0\r\n\r\n", "1 OK pods=q 0\r\n\r\n", strings.Repeat("x", 2000)} {
+		"1 OK - 99999999\r\n", "1 OK - -1\r\n", "1 OK x 0\r\n\r\n", "1 OK pods=q 0\r\n\r\n", strings.Repeat("x", 2000),
+		"1 OK\r\n", "1 OK -\r\n", "1 OK detail=warm\r\n", "1 BUSY\r\n"} {
 		r := newRig(t)
 		ref := r.send("wa", "1")
 		p := r.peers["a:1"][0]
