--- a/decide/decide.go
+++ b/decide/decide.go
@@ -26,6 +26,7 @@
 	windowMin    = 2                      // least in-flight window of a worker
 	windowMost   = 64                     // and the largest, which is the first too
 	aimPart      = 0.6                    // warm latency above this part of the aim closes the window
+	unevenPart   = 2                      // a gateway may see so many times its even part of a tenant's calls
 	shareBurst   = 3                      // seconds of a tenant's allowance that may be saved up
 	jamPart      = 0.4                    // a mean latency above this part of the aim presses the fleet
 	gainPart     = 0.3                    // weight of an answer in the running mean of its worker
@@ -289,13 +290,14 @@
 	r.dispatch(q)
 }
 
-// overShare takes a token of the tenant's allowance, this gateway's even part of it, and reports whether
-// there was none. Under pressure such a request is refused before it costs what the others need.
+// overShare takes a token of the tenant's allowance, as much of it as this gateway may well see, and reports
+// whether there was none: clients keep to their gateways, and some carry far more than an even part, whose calls
+// are as good as the others'. Under pressure such a request is refused before it costs what the others need.
 func (r *Router) overShare(t int) bool {
 	if t >= len(r.set.Tenants) || r.set.Tenants[t].PerSec <= 0 {
 		return false
 	}
-	rate := r.set.Tenants[t].PerSec / float64(max(1, r.set.Gateways))
+	rate := r.set.Tenants[t].PerSec * min(1, unevenPart/float64(max(1, r.set.Gateways)))
 	r.tokens[t] = min(rate*shareBurst, r.tokens[t]+rate*(r.now-r.refilled[t]).Seconds())
 	r.refilled[t] = r.now
 	if r.tokens[t] < 1 {
