--- a/decide/decide.go
+++ b/decide/decide.go
@@ -297,7 +297,8 @@
 	if t >= len(r.set.Tenants) || r.set.Tenants[t].PerSec <= 0 {
 		return false
 	}
-	rate := r.set.Tenants[t].PerSec * min(1, unevenPart/float64(max(1, r.set.Gateways)))
+	part := min(1, unevenPart/float64(max(1, r.set.Gateways)))
+	rate := r.set.Tenants[t].PerSec * part
 	r.tokens[t] = min(rate*shareBurst, r.tokens[t]+rate*(r.now-r.refilled[t]).Seconds())
 	r.refilled[t] = r.now
 	if r.tokens[t] < 1 {
