--- a/decide/decide.go
+++ b/decide/decide.go
@@ -291,8 +291,9 @@
 }
 
 // overShare takes a token of the tenant's allowance, as much of it as this gateway may well see, and reports
-// whether there was none: clients keep to their gateways, and some carry far more than an even part, whose calls
-// are as good as the others'. Under pressure such a request is refused before it costs what the others need.
+// whether there was none: clients keep to their gateways, and the calls of one that carries far more than an
+// even part are as good as the others'. Under pressure such a request is refused before it costs what
+// the others need.
 func (r *Router) overShare(t int) bool {
 	if t >= len(r.set.Tenants) || r.set.Tenants[t].PerSec <= 0 {
 		return false
