--- a/internal/wire/workerlink/link.go
+++ b/internal/wire/workerlink/link.go
@@ -17,10 +17,12 @@
 )
 
 const (
+	spreadOver = 4                      // connections among which the calls to one worker are spread first,
+	spreadWith = 4                      // with so many on each: all that is open on one ends with it
 	connsEach  = 8                      // connections to one worker
 	idleMargin = 3 * time.Second        // we close so long before the worker would, or a call could cross its close
 	maxUsed    = 256                    // ids that a connection remembers, so as not to use them again
-	stallLimit = 300 * time.Millisecond // an answer that has begun is whole by then, or never
+	stallLimit = 100 * time.Millisecond // an answer that has begun is whole by then, or never
 )
 
 // Pool holds the connections to the workers. All of it belongs to the turn.
@@ -171,7 +173,7 @@
 	}
 }
 
-// Send writes a call to a worker, on the busiest connection that has a stream left, or on a new one.
+// Send writes a call to a worker: on the fullest connection with few calls, then a new one, then any with a stream left.
 func (p *Pool) Send(a core.Attempt) {
 	h := p.hosts[a.Host]
 	if h == nil {
@@ -179,10 +181,20 @@
 		return
 	}
 	id := a.Call.ID
-	c := h.pick(func(c *conn) bool {
-		_, twice := c.open[id]
-		return len(c.open) < max(1, p.set.Streams) && !twice && !c.used[id] && !c.quiet
-	})
+	streams := max(1, p.set.Streams)
+	with := func(most int) *conn {
+		return h.pick(func(c *conn) bool {
+			_, twice := c.open[id]
+			return len(c.open) < most && !twice && !c.used[id] && !c.quiet
+		})
+	}
+	c := with(min(spreadWith, streams))
+	if c == nil && len(h.conns) < spreadOver {
+		c = p.dial(h)
+	}
+	if c == nil {
+		c = with(streams)
+	}
 	if c == nil {
 		if c = p.dial(h); c == nil {
 			p.later(a.Ref, decide.NoConn)
--- a/internal/wire/workerlink/workerlink_test.go
+++ b/internal/wire/workerlink/workerlink_test.go
@@ -196,6 +196,24 @@
 	}
 }
 
+// A connection that breaks takes along what is open on it, so calls are spread; all streams serve before a call fails.
+func TestCallsAreSpreadOverConnections(t *testing.T) {
+	r := newRig(t)
+	r.pool.set.Streams = 2 * spreadWith
+	for i := range spreadOver * spreadWith {
+		r.send("wa", "")
+		if n := len(r.peers["a:1"]); n != 1+i/spreadWith {
+			t.Fatalf("%d connections for %d calls", n, 1+i)
+		}
+	}
+	for range spreadOver * spreadWith {
+		r.send("wa", "")
+	}
+	if n := len(r.peers["a:1"]); n != spreadOver {
+		t.Errorf("%d connections while streams are left", n)
+	}
+}
+
 // A connection on which an attempt ended without a word gets no other until it speaks, though it is the fullest, and
 // is closed when nothing is open on it.
 func TestSilentConnectionIsAvoided(t *testing.T) {
