Let cheap calls yield to dear ones in an overload and refuse them early

A trace of single calls showed status-reads held 165 ms on average and then answered in 118 ms, ending just about their aim; those refused had waited until a mean call would have been late.

At fault: dispatch and releaseOne (first come, first served over all classes), hopeless (gives up only when a mean call would be late, so that all of an overload end at the aim), warmChoice (counts calls, not work).

Now: held calls go in order of their class's worth; classes worth less fill a fifth of a worker's window; a call not sent yet is given up at mean and three deviations; calls in flight weigh by their hints. Window constants moved with it (most 64 to 32, closing at 0.6 to 0.4 of the aim).

--- a/decide/api.go
+++ b/decide/api.go
@@ -109,10 +109,10 @@
 	Class, Tenant int
 	Function      string
 	TTL           time.Duration
-	Work          time.Duration // hint, 0 if none; not used
+	Work          time.Duration // rough hint, 0 if none
 	MemoryMB      float64       // not used: what memory bears is learnt from copies not found
 	Lanes         int           // requests that one copy runs at once
-	LoadTime      time.Duration // hint, 0 if none; not used
+	LoadTime      time.Duration // rough hint, 0 if none
 	Repeat        bool          // the client marks it as a retry; not used
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -24,13 +24,18 @@
 	loadBound    = 1.5                    // a new load skips workers this far above the mean in flight
 	crowdPause   = 200 * time.Millisecond // a full worker is left alone so long; pace of closing windows
 	windowMin    = 2                      // least in-flight window of a worker
-	windowMost   = 64                     // and the largest, which is the first too
-	aimPart      = 0.6                    // warm latency above this part of the aim closes the window
+	windowMost   = 32                     // and the largest, which is the first too
+	yieldRoom    = 0.2                    // part of the window that calls of less worth may fill
+	aimPart      = 0.4                    // warm latency above this part of the aim closes the window
 	unevenPart   = 2                      // a gateway may see so many times its even part of a tenant's calls
 	shareBurst   = 3                      // seconds of a tenant's allowance that may be saved up
 	jamPart      = 0.4                    // a mean latency above this part of the aim presses the fleet
 	gainPart     = 0.3                    // weight of an answer in the running mean of its worker
 	unseenCalls  = 10                     // a latency of one aim counts as so many calls of others there
+	hopeDevs     = 3                      // a held call is given up if one of mean + so many deviations,
+	hopeMost     = 0.85                   // or of this part of the aim, would be late
+	hintTrust    = 0.7                    // weight of a call's rough hint against the mean of its class
+	owedUnit     = 40                     // ms of hinted work in flight that count as one call
 	latePart     = 0.7                    // and our own answers of late, FULL ones as 1
 	secondPart   = 0.2                    // second copies, as a part of the calls taken
 	secondDevs   = 2                      // due after mean + so many deviations where calls were lost of late
@@ -85,6 +90,7 @@
 	calledAt         time.Duration
 	spread           float64 // how freely functions are given homes, by what the memory bears
 	pruned           time.Duration
+	worth            float64 // of the class that is worth most
 }
 
 type worker struct {
@@ -92,6 +98,7 @@
 	hash      uint64
 	deficit   []float64 // Qw counters, a tenant each
 	inflight  int
+	owed      float64 // the work of these by their hints, in ms
 	busy      int     // of these, at copies known to stand
 	loads     int     // functions whose load there we wait for
 	window    float64 // how many of these may be out
@@ -134,6 +141,7 @@
 	id                   uint64
 	class, tenant        int
 	fn                   *function
+	work, worth          float64 // ms, by its hint; of its class
 	arrived, deadline    time.Duration
 	attempts             []attempt
 	out                  int
@@ -157,6 +165,7 @@
 
 type classStat struct {
 	mean, dev float64 // ms of a warm call
+	work      float64 // mean hint, ms
 }
 
 // New checks the settings and returns a Router that has no beliefs.
@@ -179,7 +188,8 @@
 		if c.Aim <= 0 || c.Deadline <= 0 {
 			return nil, fmt.Errorf("decide: class %d has no Aim or no Deadline", i)
 		}
-		r.classes = append(r.classes, classStat{ms(c.Aim) / 4, ms(c.Aim) / 8})
+		r.worth = max(r.worth, c.Worth)
+		r.classes = append(r.classes, classStat{ms(c.Aim) / 4, ms(c.Aim) / 8, 0})
 	}
 	gw.WakeAt(sweepEvery, "sweep")
 	if s.Subscribe {
@@ -278,7 +288,7 @@
 	r.calls, r.calledAt = 1+fade(r.calls, r.now-r.calledAt, fadeOver), r.now
 	f.lanes, f.usedAt = max(1, e.Lanes), r.now
 	q := &request{id: e.ID, class: e.Class, tenant: min(max(e.Tenant, 0), len(r.turn)-1), fn: f,
-		arrived: r.now, deadline: r.now + e.TTL}
+		arrived: r.now, deadline: r.now + e.TTL, work: r.workOf(e), worth: r.set.Classes[e.Class].Worth}
 	r.byID[e.ID] = q
 	r.seconds = min(secondBurst, r.seconds+secondPart)
 	r.open = append(r.open, q)
@@ -290,6 +300,19 @@
 	r.dispatch(q)
 }
 
+// workOf is what a call is thought to take of a core, by its rough hint and its class.
+func (r *Router) workOf(e Arrival) float64 {
+	c := &r.classes[e.Class]
+	if e.Work <= 0 {
+		return cmp.Or(c.work, c.mean)
+	}
+	if c.work == 0 {
+		c.work = ms(e.Work)
+	}
+	c.work += gainFast / 2 * (ms(e.Work) - c.work)
+	return hintTrust*ms(e.Work) + (1-hintTrust)*c.work
+}
+
 // overShare takes a token of the tenant's allowance, as much of it as this gateway may well see, and reports
 // whether there was none: clients keep to their gateways, and the calls of one that carries far more than an
 // even part are as good as the others'. Under pressure such a request is refused before it costs what
@@ -328,6 +351,7 @@
 	a.done = true
 	q.out--
 	a.w.inflight--
+	a.w.owed = max(0, a.w.owed-q.work)
 	a.p.inflight--
 	if a.p.loaded {
 		a.w.busy--
@@ -357,13 +381,15 @@
 		r.answer(q)
 		return
 	}
-	if len(r.held) == 0 || len(q.attempts) > 0 { // the held go first
+	r.held = slices.DeleteFunc(r.held, func(h *request) bool { return !h.held })
+	ahead := sort.Search(len(r.held), func(i int) bool { return r.held[i].worth < q.worth })
+	if len(q.attempts) > 0 || ahead == 0 { // the held go first, but for those worth less
 		if w := r.choose(q); w != nil && r.send(q, w) {
 			return
 		}
 	}
 	q.held = true
-	r.held = append(r.held, q)
+	r.held = slices.Insert(r.held, ahead, q)
 }
 
 // choose is D2LPM's SelectWorker. Among believed-warm workers with a free lane it takes one where the
@@ -405,7 +431,7 @@
 			continue
 		}
 		homes--
-		key := w.inflight + int(unseenCalls*min(2, w.part))
+		key := int(w.owed/owedUnit + unseenCalls*min(2, w.part))
 		switch {
 		case p == nil || p.inflight == 0:
 		case !p.loaded && p.inflight >= q.fn.lanes:
@@ -581,11 +607,16 @@
 }
 
 // hopeless reports whether a request without attempts out should be answered now: no time, no attempts, no
-// right to send again, or a warm call would be late: late worth is little, a refused client may return.
+// right to send again, or a warm call would be late: late worth is little, a refused client may return. One
+// not sent yet is given up while most warm calls are in time, or in an overload all would end at the aim.
 func (r *Router) hopeless(q *request) bool {
-	aim := ms(r.set.Classes[q.class].Aim) // half of it at most, or a bad spell would refuse all and never end
+	c, aim := r.classes[q.class], ms(r.set.Classes[q.class].Aim)
+	need := min(c.mean, aim/2) // half of it at most, or a bad spell would refuse all and never end
+	if len(q.attempts) == 0 {
+		need = min(c.mean+hopeDevs*c.dev, hopeMost*aim)
+	}
 	return r.now+2*sweepEvery >= q.deadline || len(q.attempts) >= r.set.MaxAttempts || !r.mayRepeat(q, nil) ||
-		ms(r.now-q.arrived)+min(r.classes[q.class].mean, aim/2) > aim
+		ms(r.now-q.arrived)+need > aim
 }
 
 // overdue holds an attempt that has been out for too long against its worker. Guards against workers that are
@@ -704,6 +735,7 @@
 	a := &q.attempts[len(q.attempts)-1]
 	a.warm = p.loaded || r.homes(q) > 1
 	q.out++
+	w.owed += q.work
 	if w.inflight++; !p.loaded && p.inflight == 0 {
 		w.loads++
 	}
@@ -786,9 +818,16 @@
 	return r.now >= w.fullUntil && float64(w.busy) < w.window
 }
 
+// yields reports whether a worker keeps what is left of its window for calls worth more than q. Guards
+// against overloads in which all were late alike: the cheap ones now wait here, then are refused.
+func (r *Router) yields(q *request, w *worker) bool {
+	return q.worth < r.worth && float64(w.busy) >= yieldRoom*w.window
+}
+
 // eligible reports whether an attempt of q may go to w; strict also asks that q has not tried it.
 func (r *Router) eligible(q *request, w *worker, strict bool) bool {
-	if w.host.State != Ready || w.health[q.class].out || !r.room(w) || !r.mayRepeat(q, w) || !r.coldRoom(w) {
+	if w.host.State != Ready || w.health[q.class].out || !r.room(w) || r.yields(q, w) ||
+		!r.mayRepeat(q, w) || !r.coldRoom(w) {
 		return false
 	}
 	for i := range q.attempts {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -593,6 +593,80 @@
 	}
 }
 
+// Twice the usual traffic made every call late alike. Calls of less worth now leave most of a window to the others,
+// and do not keep those waiting that come after them.
+func TestCheapCallsLeaveRoomForDearOnes(t *testing.T) {
+	f := start(t, site(), 1)
+	f.warm(0, "fn")
+	f.warm(2, "dear")
+	f.r.ready[0].window = 10
+	var cheap []uint64
+	for range 4 {
+		cheap = append(cheap, f.call(0, 0, "fn"))
+	}
+	if len(f.of(cheap[1])) != 1 || len(f.of(cheap[2])) != 0 || len(f.of(cheap[3])) != 0 {
+		t.Fatal("of a window of 10, calls of less worth take 2")
+	}
+	if id := f.call(2, 0, "dear"); len(f.of(id)) != 1 {
+		t.Error("a call of the most worth waits behind cheaper ones")
+	}
+	f.result(f.of(cheap[0])[0], Good, FoundWarm)
+	f.result(f.of(cheap[1])[0], Good, FoundWarm)
+	if len(f.of(cheap[2])) != 1 {
+		t.Error("held though its part of the window is free again")
+	}
+	f = start(t, site(), 1)
+	f.warm(0, "fn")
+	f.warm(2, "dear")
+	f.r.ready[0].window = 0
+	first, dear := f.call(0, 0, "fn"), f.call(2, 0, "dear")
+	f.r.ready[0].window = 1
+	f.pass(sweepEvery)
+	if len(f.of(dear)) != 1 || len(f.of(first)) != 0 {
+		t.Error("the room of one goes to a cheap call before a dear one")
+	}
+}
+
+// Held until a mean call would end at the aim, the calls of an overload all ended about there, half of them late.
+func TestHeldCallIsGivenUpWhileMostWouldBeInTime(t *testing.T) {
+	f := start(t, site(), 1)
+	f.warm(0, "fn")
+	f.r.classes[0] = classStat{mean: 100, dev: 50}
+	f.r.ready[0].window = 0
+	id := f.call(0, 0, "fn")
+	f.pass(sec - 300*time.Millisecond)
+	if f.ended[id] != "" {
+		t.Fatal("given up with time enough")
+	}
+	f.pass(100 * time.Millisecond)
+	if f.ended[id] != "refuse" {
+		t.Errorf("ended as %q, want a refusal while a warm call may take 250 ms", f.ended[id])
+	}
+}
+
+// Calls of one class differ tenfold in work: one long call in flight is more than two short ones.
+func TestWorkInFlightCountsByItsHints(t *testing.T) {
+	f := start(t, site(), 2)
+	f.warm(2, "fn")
+	for _, w := range f.r.ready {
+		p := f.r.place(f.r.funcs["fn"], w)
+		p.lastSend, p.loaded = f.now, true
+		w.deficit[0], w.part = 1e6, 0
+	}
+	f.r.funcs["fn"].calls, f.r.calls, f.r.calledAt, f.r.funcs["fn"].usedAt = 3000, 3000, f.now, f.now // several homes
+	call := func(ms int) string {
+		f.next++
+		f.do(Arrival{ID: f.next, Class: 2, Function: "fn", TTL: 4 * sec, Lanes: 4, Work: time.Duration(ms) * time.Millisecond})
+		return f.last().host
+	}
+	long := call(400)
+	for range 4 {
+		if call(40) == long {
+			t.Error("sent beside the long call")
+		}
+	}
+}
+
 // ---- odd input ----
 
 func TestNewNamesTheImpossibleSetting(t *testing.T) {
@@ -883,7 +957,7 @@
 	t.Helper()
 	f = start(t, site(), 6)
 	home = f.warm(class, "fn")
-	f.r.classes[class] = classStat{100, 50}
+	f.r.classes[class] = classStat{mean: 100, dev: 50}
 	id = f.call(class, 0, "fn")
 	for range later {
 		f.pass(30 * time.Millisecond)
