Hold no error against a worker for a function that no worker ever served

Each error set its worker aside for the class for 0.5 s and more, for everybody's calls, and calls that then went elsewhere had to load (264 of 6,200 status-reads).

At fault: learn, which strikes a worker for every Bad. It now does so only for functions of which a call has been answered since they are known; a worker that turns sick is still met through those.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -90,7 +90,6 @@
 	calledAt         time.Duration
 	spread           float64 // how freely functions are given homes, by what the memory bears
 	pruned           time.Duration
-	worth            float64 // of the class that is worth most
 }
 
 type worker struct {
@@ -135,6 +134,7 @@
 	ranked int
 	usedAt time.Duration
 	calls  float64 // own calls of late, fading
+	served bool    // one has been answered by some worker
 }
 
 type request struct {
@@ -188,7 +188,6 @@
 		if c.Aim <= 0 || c.Deadline <= 0 {
 			return nil, fmt.Errorf("decide: class %d has no Aim or no Deadline", i)
 		}
-		r.worth = max(r.worth, c.Worth)
 		r.classes = append(r.classes, classStat{ms(c.Aim) / 4, ms(c.Aim) / 8, 0})
 	}
 	gw.WakeAt(sweepEvery, "sweep")
@@ -821,7 +820,8 @@
 // yields reports whether a worker keeps what is left of its window for calls worth more than q. Guards
 // against overloads in which all were late alike: the cheap ones now wait here, then are refused.
 func (r *Router) yields(q *request, w *worker) bool {
-	return q.worth < r.worth && float64(w.busy) >= yieldRoom*w.window
+	dearer := func(c Class) bool { return c.Worth > q.worth }
+	return float64(w.busy) >= yieldRoom*w.window && slices.ContainsFunc(r.set.Classes, dearer)
 }
 
 // eligible reports whether an attempt of q may go to w; strict also asks that q has not tried it.
@@ -865,7 +865,7 @@
 				o.w.lost, o.w.lostAt = 1+fade(o.w.lost, r.now-o.w.lostAt, lostOver), r.now
 			}
 		}
-		w.health[q.class] = health{}
+		w.health[q.class], q.fn.served = health{}, true
 		r.goodRate, r.goodAt = r.rate()+1/lately.Seconds(), r.now
 		if a.warm { // where it had to load, memory bears fewer copies
 			r.spread *= spreadUp
@@ -894,8 +894,8 @@
 		if dead || e.Note == LoadFailed {
 			q.fn.drop(w)
 		}
-		for k := range w.health { // a load that failed or is awaited is not sickness
-			if dead || k == q.class && e.Note != LoadFailed && e.Outcome != Late {
+		for k := range w.health { // loads that fail or last and what nobody ever served show no sickness
+			if dead || k == q.class && e.Note != LoadFailed && e.Outcome != Late && q.fn.served {
 				r.strike(w, k)
 			}
 		}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -439,10 +439,10 @@
 // i2def6e: fast errors of one class at a few workers; successes of the other class hid them.
 func TestErrorsCountByClass(t *testing.T) {
 	f := start(t, site(), 4)
-	w := f.r.ready[0]
+	w, fn := f.r.ready[0], &function{name: "x", lanes: 1, served: true}
 	for range 3 {
-		p := f.r.place(&function{name: "x", lanes: 1}, w)
-		q := &request{class: 0, fn: &function{}}
+		p := f.r.place(fn, w)
+		q := &request{class: 0, fn: fn}
 		f.r.learn(q, &attempt{w: w, p: p, warm: true}, Result{Outcome: Bad})
 		f.r.learn(&request{class: 1, fn: q.fn}, &attempt{w: w, p: p, warm: true}, Result{Outcome: Good, Note: FoundWarm})
 	}
@@ -453,6 +453,22 @@
 }
 
 // i2def6e, floripa overload: a dead worker answers fastest and drew 62% of the sends.
+// Calls for functions that no worker knows end in errors everywhere; each had set a worker aside for everyone's calls.
+func TestErrorForAFunctionNeverServedIsNoSickness(t *testing.T) {
+	f := start(t, site(), 4)
+	for i := range 8 {
+		id := f.call(0, 0, fmt.Sprint("unknown", i))
+		for f.ended[id] == "" {
+			f.result(f.last(), Bad, NoNote)
+		}
+	}
+	for _, w := range f.r.ready {
+		if w.health[0].aside > f.now {
+			t.Errorf("%s is set aside", w.host.Name)
+		}
+	}
+}
+
 func TestDeadWorkerIsNoLastResort(t *testing.T) {
 	f := start(t, site(), 3)
 	for i := 0; len(f.sent) < 40 && i < 40; i++ {
