Order copies at a function's further homes ahead instead of sending calls to load them

At fault: warmChoice, which takes a home without a copy as readily as one with it (agreed homes count as warm), and choose, which loads elsewhere where the tenant's counter is spent. Both now order the copy, one at a time for a function, within the ration, and use what stands until the order is answered. Where orders are not to be had or fail (MQTT workers take none) a call loads it as before.

--- a/decide/api.go
+++ b/decide/api.go
@@ -54,7 +54,7 @@
 	Parallel      bool          // two attempts of a request may be out at once
 	Cancelling    bool          // Retract may be used
 	Probing       bool          // Probe may be used; not used, untried
-	Peers         bool          // Tell may be used
+	Peers         bool          // Tell may be used; not used: gateways do not talk to each other
 	MaxRetryAfter time.Duration // not used: pauses asked of refused clients lost worth
 
 	AnswerSlack  time.Duration // not used: answers are given before the deadline
@@ -185,7 +185,7 @@
 	Report  *Report
 }
 
-// Peer is a message of another gateway: one of its router's Tell.
+// Peer is a message of another gateway: one of its router's Tell. The router sends none and takes no notice.
 type Peer struct {
 	From    int
 	Content []byte
@@ -221,7 +221,7 @@
 	Shelve(host, function string)
 	// Probe examines a worker; not called.
 	Probe(host string)
-	// Tell sends a message to a peer, to all where it is below 0.
+	// Tell sends a message to a peer, to all where it is below 0; not called.
 	Tell(peer int, content []byte)
 	// Watch subscribes to changes of the list.
 	Watch(on bool)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -58,8 +58,7 @@
 	spreadDown   = 0.8                    // and shrink so with each that did not: 1 in 20 may fail
 	spreadLeast  = 0.1
 	spreadMost   = 2.0
-	lately       = 4 * time.Second // over which rates and reports of peers are counted
-	toldEnough   = 2               // so many set a worker aside, reckoned with their fading
+	lately       = 4 * time.Second // over which rates are counted
 )
 
 // Router decides for one gateway. It is not safe for concurrent use.
@@ -112,9 +111,7 @@
 
 type health struct {
 	aside, length time.Duration // set aside until; for how long
-	told          float64       // peers' reports, fading
-	toldAt        time.Duration
-	out           bool // judged unfit at the last sweep
+	out           bool          // judged unfit at the last sweep
 }
 
 type place struct { // a believed-warm worker of a function
@@ -122,7 +119,7 @@
 	inflight int
 	lastSend time.Duration
 	loaded   bool          // an answer has shown a loaded copy
-	ordered  time.Duration // an order for it may be out until then
+	ordered  time.Duration // an order for it may be out until then; below 0: failed, none until that
 }
 
 type function struct {
@@ -164,8 +161,7 @@
 }
 
 type classStat struct {
-	mean, dev float64 // ms of a warm call
-	work      float64 // mean hint, ms
+	mean, dev, work float64 // ms: of a warm call, and its mean hint
 }
 
 // New checks the settings and returns a Router that has no beliefs.
@@ -221,8 +217,6 @@
 		}
 	case Loaded:
 		r.onLoaded(e)
-	case Peer:
-		r.onPeer(e)
 	case Wake:
 		if e.Token == "sweep" {
 			r.sweep()
@@ -305,9 +299,7 @@
 	if e.Work <= 0 {
 		return cmp.Or(c.work, c.mean)
 	}
-	if c.work == 0 {
-		c.work = ms(e.Work)
-	}
+	c.work = cmp.Or(c.work, ms(e.Work))
 	c.work += gainFast / 2 * (ms(e.Work) - c.work)
 	return hintTrust*ms(e.Work) + (1-hintTrust)*c.work
 }
@@ -320,8 +312,7 @@
 	if t >= len(r.set.Tenants) || r.set.Tenants[t].PerSec <= 0 {
 		return false
 	}
-	part := min(1, unevenPart/float64(max(1, r.set.Gateways)))
-	rate := r.set.Tenants[t].PerSec * part
+	rate := r.set.Tenants[t].PerSec * min(1, unevenPart/float64(max(1, r.set.Gateways)))
 	r.tokens[t] = min(rate*shareBurst, r.tokens[t]+rate*(r.now-r.refilled[t]).Seconds())
 	r.refilled[t] = r.now
 	if r.tokens[t] < 1 {
@@ -404,7 +395,10 @@
 			if free || w.deficit[q.tenant] > 0 || loading {
 				return w
 			}
-			return cmp.Or(r.coldChoice(q, strict, true), w)
+			if cold := r.coldChoice(q, strict, true); cold != nil && !r.ahead(q.fn, cold) {
+				return cold
+			}
+			return w
 		}
 		if loading {
 			return nil
@@ -421,6 +415,7 @@
 func (r *Router) warmChoice(q *request, strict bool) (best *worker, free bool) {
 	homes := r.homes(q)
 	ties, bestKey, several := 0, math.MaxInt, homes > 1 && !r.pressed()
+	fresh, freshKey := (*worker)(nil), math.MaxInt // the least busy home at which no copy is known to stand
 	for _, w := range r.rankOf(q.fn) {
 		if homes <= 0 && bestKey < 1<<20 {
 			break // copies beyond the agreed homes may lapse
@@ -432,7 +427,11 @@
 		homes--
 		key := int(w.owed/owedUnit + unseenCalls*min(2, w.part))
 		switch {
-		case p == nil || p.inflight == 0:
+		case p == nil || !p.loaded && p.inflight == 0:
+			if w.deficit[q.tenant] > 0 && key < freshKey {
+				fresh, freshKey = w, key
+			}
+			continue
 		case !p.loaded && p.inflight >= q.fn.lanes:
 			continue // what a copy cannot start with waits here, not in the worker's queue
 		case !p.loaded:
@@ -452,9 +451,26 @@
 			best, bestKey, free = w, key, key < 2<<20
 		}
 	}
+	if fresh != nil && (best == nil || bestKey >= 3<<20 || freshKey < bestKey && !r.ahead(q.fn, fresh)) {
+		return fresh, true
+	}
 	return best, free
 }
 
+// ahead orders a copy at a worker while others serve the function, one at a time: calls sent there would wait
+// for the load. It reports whether such an order is out.
+func (r *Router) ahead(f *function, w *worker) bool {
+	if slices.ContainsFunc(f.places, func(p *place) bool { return !p.loaded && r.now < p.ordered }) {
+		return true
+	}
+	p := r.place(f, w)
+	if !r.set.LoadsOnMiss || r.now < -p.ordered || !r.order(f, w, 1) {
+		return false
+	}
+	p.lastSend, p.ordered = r.now, r.now+r.set.OrderTimeout
+	return true
+}
+
 // homes is how many workers the gateways agree to use for a function: so many that its calls take up lanePart
 // of the lanes and homePart of an even worker's load, as far as memory bears it (spread), with leastPart of a
 // call at work at each. Its share is judged from our own calls; one that has seen few stays at one home.
@@ -605,9 +621,9 @@
 	}
 }
 
-// hopeless reports whether a request without attempts out should be answered now: no time, no attempts, no
-// right to send again, or a warm call would be late: late worth is little, a refused client may return. One
-// not sent yet is given up while most warm calls are in time, or in an overload all would end at the aim.
+// hopeless reports whether a request without attempts out should be answered now: no time, attempts or right
+// to send again, or a warm call would be late. One not sent yet is given up while most would be in time, or
+// in an overload all would end at the aim: late worth is little, a refused client may return.
 func (r *Router) hopeless(q *request) bool {
 	c, aim := r.classes[q.class], ms(r.set.Classes[q.class].Aim)
 	need := min(c.mean, aim/2) // half of it at most, or a bad spell would refuse all and never end
@@ -627,9 +643,6 @@
 		if a.passed < secondPassed { // else its worker answers, and has lost this call
 			r.strike(a.w, q.class)
 		}
-		if r.set.Peers {
-			r.gw.Tell(-1, append([]byte{byte(q.class)}, a.w.host.Name...))
-		}
 	}
 	loses := fade(a.w.lost, r.now-a.w.lostAt, lostOver) >= lostEnough
 	if !a.done && !a.doubled && (a.passed >= secondPassed || loses) {
@@ -902,21 +915,6 @@
 	}
 }
 
-// onPeer takes in that a call of a class was overdue at a worker. One may be chance; several at once are not.
-// Guards against what a gateway of few calls meets too late: a class failing, a rack lost, a crowded worker.
-func (r *Router) onPeer(e Peer) {
-	if len(e.Content) == 0 || int(e.Content[0]) >= len(r.classes) {
-		return
-	}
-	if w := r.workers[string(e.Content[1:])]; w != nil {
-		h := &w.health[e.Content[0]]
-		h.told, h.toldAt = 1+fade(h.told, r.now-h.toldAt, lately), r.now
-		if h.told >= toldEnough {
-			r.strike(w, int(e.Content[0]))
-		}
-	}
-}
-
 // strike sets a worker aside for a class, at first for as long as this gateway takes to send each worker a
 // call (a shorter time would not be noticed), doubling while it goes on failing.
 func (r *Router) strike(w *worker, class int) {
@@ -947,7 +945,7 @@
 		p = &place{w: w}
 		f.places = append(f.places, p)
 	} else if !r.believed(p) {
-		p.loaded, p.ordered = false, 0
+		p.loaded, p.ordered = false, min(0, p.ordered)
 	}
 	return p
 }
@@ -989,9 +987,11 @@
 	if f == nil || w == nil || w.host.State != Ready {
 		return
 	}
-	if f.drop(w); e.Copies > 0 { // made anew: the order renewed the idle time
-		p := r.place(f, w)
-		p.lastSend, p.loaded = r.now, true
+	f.drop(w) // made anew: the order renewed the idle time
+	p := r.place(f, w)
+	p.ordered = -r.now - r.set.OrderTimeout // where it failed a call may still load it
+	if p.loaded = e.Copies > 0; p.loaded {
+		p.lastSend = r.now
 	}
 }
 
