Let cheap calls wait only while answers are slow

A trace shows 1,086 to 1,316 status-reads refused unsent every 2 s at its two gateways of up to 950 calls a second, with 50 to 70 held, while answers took 0.2 of the aim and workers had 5 calls each: the fifth of a window (23 on average) that cheap calls may fill was too little though nothing was slow.

At fault: yields, which looked at the window alone.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,7 +25,8 @@
 	crowdPause   = 200 * time.Millisecond // a full worker is left alone so long; pace of closing windows
 	windowMin    = 2                      // least in-flight window of a worker
 	windowMost   = 32                     // and the largest, which is the first too
-	yieldRoom    = 0.2                    // part of the window that calls of less worth may fill
+	yieldPart    = 0.24                   // while answers take more than this part of the aim,
+	yieldRoom    = 0.2                    // calls of less worth may fill this part of the window
 	aimPart      = 0.4                    // warm latency above this part of the aim closes the window
 	unevenPart   = 2                      // a gateway may see so many times its even part of a tenant's calls
 	shareBurst   = 3                      // seconds of a tenant's allowance that may be saved up
@@ -296,12 +297,10 @@
 // workOf is what a call is thought to take of a core, by its rough hint and its class.
 func (r *Router) workOf(e Arrival) float64 {
 	c := &r.classes[e.Class]
-	if e.Work <= 0 {
-		return cmp.Or(c.work, c.mean)
-	}
-	c.work = cmp.Or(c.work, ms(e.Work))
-	c.work += gainFast / 2 * (ms(e.Work) - c.work)
-	return hintTrust*ms(e.Work) + (1-hintTrust)*c.work
+	work := cmp.Or(max(0, ms(e.Work)), c.work, c.mean)
+	c.work = cmp.Or(c.work, work)
+	c.work += gainFast / 2 * (work - c.work)
+	return hintTrust*work + (1-hintTrust)*c.work
 }
 
 // overShare takes a token of the tenant's allowance, as much of it as this gateway may well see, and reports
@@ -831,10 +830,12 @@
 }
 
 // yields reports whether a worker keeps what is left of its window for calls worth more than q. Guards
-// against overloads in which all were late alike: the cheap ones now wait here, then are refused.
+// against overloads in which all were late alike: the cheap ones now wait, then are refused. Where answers are prompt
+// none waits: at hundreds of calls a second a part of a window would be too little.
 func (r *Router) yields(q *request, w *worker) bool {
 	dearer := func(c Class) bool { return c.Worth > q.worth }
-	return float64(w.busy) >= yieldRoom*w.window && slices.ContainsFunc(r.set.Classes, dearer)
+	return r.late > yieldPart && float64(w.busy) >= yieldRoom*w.window &&
+		slices.ContainsFunc(r.set.Classes, dearer)
 }
 
 // eligible reports whether an attempt of q may go to w; strict also asks that q has not tried it.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -618,6 +618,15 @@
 	f.warm(0, "fn")
 	f.warm(2, "dear")
 	f.r.ready[0].window = 10
+	for range 3 { // while answers are prompt, none of them waits
+		if id := f.call(0, 0, "fn"); len(f.of(id)) != 1 {
+			t.Fatal("a call of less worth waits though answers are prompt")
+		}
+	}
+	for id := f.next; id > f.next-3; id-- {
+		f.result(f.of(id)[0], Good, FoundWarm)
+	}
+	f.r.late, f.r.ready[0].window = 0.5, 10
 	var cheap []uint64
 	for range 4 {
 		cheap = append(cheap, f.call(0, 0, "fn"))
