--- a/decide/decide.go
+++ b/decide/decide.go
@@ -830,8 +830,7 @@
 }
 
 // yields reports whether a worker keeps what is left of its window for calls worth more than q. Guards
-// against overloads in which all were late alike: the cheap ones now wait, then are refused. Where answers are prompt
-// none waits: at hundreds of calls a second a part of a window would be too little.
+// against overloads in which all were late alike; where answers are prompt no call waits, however many come.
 func (r *Router) yields(q *request, w *worker) bool {
 	dearer := func(c Class) bool { return c.Worth > q.worth }
 	return r.late > yieldPart && float64(w.busy) >= yieldRoom*w.window &&
