Set no worker aside for one lost connection, only for a second before it answers

At fault: learn, which takes a Reset as a dead worker: it forgets the copy there and sets the worker aside for all classes for 0.5 s and longer, so that calls load or queue elsewhere. Now that needs a failed connect, or a Reset later than a first failure with no good answer between. What one connection carried ends at the same instant and counts as one. A dead process is met by the next connect.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -79,17 +79,15 @@
 	tokens   []float64 // allowances, a tenant each
 	refilled []time.Duration
 
-	seconds          float64         // second copies that may be sent
-	arrivals, orders []time.Duration // times within the ration's window
-	goodRate         float64         // own calls served a second, running
-	goodAt           time.Duration
-	ranked           int     // version of ready, for the cached ranks
-	fleet            float64 // even part of all allowances, calls a second
-	late             float64 // latency as a part of the aim, of late, all workers
-	calls            float64 // own calls of late, fading
-	calledAt         time.Duration
-	spread           float64 // how freely functions are given homes, by what the memory bears
-	pruned           time.Duration
+	seconds                  float64         // second copies that may be sent
+	arrivals, orders         []time.Duration // times within the ration's window
+	goodRate                 float64         // own calls served a second, running
+	ranked                   int             // version of ready, for the cached ranks
+	fleet                    float64         // even part of all allowances, calls a second
+	late                     float64         // latency as a part of the aim, of late, all workers
+	calls                    float64         // own calls of late, fading
+	spread                   float64         // how freely functions are given homes, by what the memory bears
+	goodAt, calledAt, pruned time.Duration
 }
 
 type worker struct {
@@ -105,6 +103,8 @@
 	lostAt    time.Duration
 	part      float64 // warm latency, as a part of the aim; running
 	shrunkAt  time.Duration
+	failedAt  time.Duration   // first since its last good answer, or 0
+	resetAt   time.Duration   // of the first reset since it last answered, or 0
 	fullUntil time.Duration   // takes no call
 	health    []health        // by class
 	cold      []time.Duration // sends to it while it was cold
@@ -303,10 +303,9 @@
 	return hintTrust*work + (1-hintTrust)*c.work
 }
 
-// overShare takes a token of the tenant's allowance, as much of it as this gateway may well see, and reports
-// whether there was none: clients keep to their gateways, and the calls of one that carries far more than an
-// even part are as good as the others'. Under pressure such a request is refused before it costs what
-// the others need.
+// overShare takes a token of the tenant's allowance, as much of it as this gateway may well see (clients keep to
+// their gateways, and the calls of a busy one are as good as others'), and reports whether there was none. Under
+// pressure such a request is refused before it costs what the others need.
 func (r *Router) overShare(t int) bool {
 	if t >= len(r.set.Tenants) || r.set.Tenants[t].PerSec <= 0 {
 		return false
@@ -878,7 +877,7 @@
 				o.w.lost, o.w.lostAt = 1+fade(o.w.lost, r.now-o.w.lostAt, lostOver), r.now
 			}
 		}
-		w.health[q.class], q.fn.served = health{}, true
+		w.health[q.class], q.fn.served, w.failedAt = health{}, true, 0
 		r.goodRate, r.goodAt = r.rate()+1/lately.Seconds(), r.now
 		if a.warm { // where it had to load, memory bears fewer copies
 			r.spread *= spreadUp
@@ -903,12 +902,13 @@
 	case Miss:
 		q.fn.drop(w)
 	case Bad, Late, NoConn, Reset:
-		dead := e.Outcome == Reset || e.Outcome == NoConn // for all classes; an error speaks for its own
+		w.failedAt = cmp.Or(w.failedAt, r.now)
+		dead := e.Outcome == NoConn || e.Outcome == Reset && w.failedAt < r.now // not one connection
 		if dead || e.Note == LoadFailed {
 			q.fn.drop(w)
 		}
 		for k := range w.health { // loads that fail or last and what nobody ever served show no sickness
-			if dead || k == q.class && e.Note != LoadFailed && e.Outcome != Late && q.fn.served {
+			if dead || e.Outcome == Bad && k == q.class && e.Note != LoadFailed && q.fn.served {
 				r.strike(w, k)
 			}
 		}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -471,6 +471,37 @@
 	}
 }
 
+// Each connection that was reset had set its worker aside for all, though the others there went on answering. What one
+// connection carried ends at once; a second loss before the next answer speaks of the worker.
+func TestOneLostConnectionIsNoSickness(t *testing.T) {
+	f := start(t, site(), 4)
+	home := f.warm(0, "fn")
+	aside := func() bool { return f.r.workers[home].health[0].aside > f.now }
+	lose := func(n int) {
+		var ids []uint64
+		for range n {
+			ids = append(ids, f.call(0, 0, "fn"))
+		}
+		f.now += 20 * time.Millisecond
+		for _, id := range ids {
+			f.result(f.of(id)[0], Reset, NoNote)
+		}
+	}
+	lose(2)
+	if aside() || !f.r.funcs["fn"].at(f.r.workers[home]).loaded {
+		t.Error("set aside, or its copy forgotten, for one connection")
+	}
+	f.result(sent{f.call(0, 0, "fn"), home, 0, f.now}, Good, FoundWarm)
+	lose(1)
+	if aside() {
+		t.Error("set aside though it answered between two losses")
+	}
+	lose(1)
+	if !aside() {
+		t.Error("not set aside for two losses in a row")
+	}
+}
+
 func TestDeadWorkerIsNoLastResort(t *testing.T) {
 	f := start(t, site(), 3)
 	for i := 0; len(f.sent) < 40 && i < 40; i++ {
