--- a/decide/decide.go
+++ b/decide/decide.go
@@ -303,9 +303,9 @@
 	return hintTrust*work + (1-hintTrust)*c.work
 }
 
-// overShare takes a token of the tenant's allowance, as much of it as this gateway may well see (clients keep to
-// their gateways, and the calls of a busy one are as good as others'), and reports whether there was none. Under
-// pressure such a request is refused before it costs what the others need.
+// overShare takes a token of the tenant's allowance, as much of it as this gateway may well see (clients keep
+// to theirs, and a busy one's calls are as good as others'), and reports whether there was none.
+// Under pressure such a request is refused before it costs what the others need.
 func (r *Router) overShare(t int) bool {
 	if t >= len(r.set.Tenants) || r.set.Tenants[t].PerSec <= 0 {
 		return false
