Refuse a call at once whose client waits for less than a warm call takes

A trace shows 2,206 status-reads that ended at their deadline 67 ms after they came, where a warm one took 60 to 170 ms: clients that wait that long and ask again at once (2.4 to 2.8 tries each). They filled workers for nobody, and 1,300 calls of all clients were refused as beyond their tenant's share in a pressed fleet.

At fault: hopeless, which took 20 ms before the deadline as time enough for a call. It now takes the mean of a warm call, half the aim at most. It is a refusal at once: nothing was sent, and nothing is held back.

Ruled out: lost answers or silent workers (other calls on the same connections were answered), sick workers (all six alike).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -620,15 +620,15 @@
 }
 
 // hopeless reports whether a request without attempts out should be answered now: no time, attempts or right
-// to send again, or a warm call would be late. One not sent yet is given up while most would be in time, or
-// in an overload all would end at the aim: late worth is little, a refused client may return.
+// to send again, or a warm call would be late, or later than its client waits; most, before it is first sent.
 func (r *Router) hopeless(q *request) bool {
 	c, aim := r.classes[q.class], ms(r.set.Classes[q.class].Aim)
 	need := min(c.mean, aim/2) // half of it at most, or a bad spell would refuse all and never end
+	left := ms(q.deadline-r.now) - max(need, ms(2*sweepEvery))
 	if len(q.attempts) == 0 {
 		need = min(c.mean+hopeDevs*c.dev, hopeMost*aim)
 	}
-	return r.now+2*sweepEvery >= q.deadline || len(q.attempts) >= r.set.MaxAttempts || !r.mayRepeat(q, nil) ||
+	return left <= 0 || len(q.attempts) >= r.set.MaxAttempts || !r.mayRepeat(q, nil) ||
 		ms(r.now-q.arrived)+need > aim
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -702,6 +702,25 @@
 	}
 }
 
+// A crowd of clients that waited for less than a call takes kept workers busy with calls that nobody awaited any more,
+// and asked again at once.
+func TestCallNobodyWaitsLongEnoughForIsRefusedAtOnce(t *testing.T) {
+	f := start(t, site(), 1)
+	f.warm(0, "fn")
+	f.r.classes[0] = classStat{mean: 100, dev: 50}
+	n := len(f.sent)
+	for id, want := range map[uint64]string{901: "refuse", 902: ""} {
+		ttl := map[uint64]time.Duration{901: 67 * time.Millisecond, 902: 150 * time.Millisecond}[id]
+		f.do(Arrival{ID: id, Function: "fn", TTL: ttl, Lanes: 2})
+		if f.ended[id] != want {
+			t.Errorf("a client that waits %v: ended as %q, want %q", ttl, f.ended[id], want)
+		}
+	}
+	if len(f.sent) != n+1 {
+		t.Errorf("%d calls sent, want the one in time", len(f.sent)-n)
+	}
+}
+
 // Calls of one class differ tenfold in work: one long call in flight is more than two short ones.
 func TestWorkInFlightCountsByItsHints(t *testing.T) {
 	f := start(t, site(), 2)
