Count own calls over 0.6 of the keep-alive, so that homes follow popularity

Seen: the module counts its own calls (and from them how many homes a function has) with a memory of 30 s, whatever the deployment's pace. Lines at fault: fadeOver in onArrival and homes.

Now: max(4 s, 0.6 of the keep-alive).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,7 +54,8 @@
 	homePart     = 0.5                    // part of a worker's even load that one function should make up
 	lanePart     = 0.5                    // part of a function's lanes that its calls should take up
 	leastPart    = 0.25                   // of a call at work at each home
-	fadeOver     = 30 * time.Second       // over which a gateway counts its own calls
+	forgetAfter  = 30 * time.Second       // what nobody called for so long is forgotten
+	fadePart     = 0.6                    // part of the keep-alive over which a gateway counts its own calls
 	spreadUp     = 1.01                   // homes grow so with each call that found its copy
 	spreadDown   = 0.8                    // and shrink so with each that did not: 1 in 20 may fail
 	spreadLeast  = 0.1
@@ -88,6 +89,7 @@
 	calls                    float64         // own calls of late, fading
 	spread                   float64         // how freely functions are given homes, by what the memory bears
 	goodAt, calledAt, pruned time.Duration
+	span                     time.Duration // over which own calls fade: what was called before lapses
 }
 
 type worker struct {
@@ -104,7 +106,6 @@
 	part      float64 // warm latency, as a part of the aim; running
 	shrunkAt  time.Duration
 	failedAt  time.Duration   // first since its last good answer, or 0
-	resetAt   time.Duration   // of the first reset since it last answered, or 0
 	fullUntil time.Duration   // takes no call
 	health    []health        // by class
 	cold      []time.Duration // sends to it while it was cold
@@ -175,7 +176,8 @@
 		return nil, fmt.Errorf("decide: KeepAlive, DrainGrace, ColdFor, FallFor or OrderWindow is %v", d)
 	}
 	r := &Router{set: s, gw: gw, rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*worker{},
-		funcs: map[string]*function{}, byID: map[uint64]*request{}, spread: 1, seconds: secondBurst}
+		funcs: map[string]*function{}, byID: map[uint64]*request{}, spread: 1, seconds: secondBurst,
+		span: max(lately, time.Duration(fadePart*float64(s.KeepAlive)))}
 	n := max(1, len(s.Tenants))
 	r.turn, r.tokens, r.refilled = make([]float64, n), make([]float64, n), make([]time.Duration, n)
 	for _, t := range s.Tenants {
@@ -278,8 +280,8 @@
 		f = &function{name: e.Function, hash: hashOf(e.Function), ranked: -1}
 		r.funcs[e.Function] = f
 	}
-	f.calls = 1 + fade(f.calls, r.now-f.usedAt, fadeOver)
-	r.calls, r.calledAt = 1+fade(r.calls, r.now-r.calledAt, fadeOver), r.now
+	f.calls = 1 + fade(f.calls, r.now-f.usedAt, r.span)
+	r.calls, r.calledAt = 1+fade(r.calls, r.now-r.calledAt, r.span), r.now
 	f.lanes, f.usedAt = max(1, e.Lanes), r.now
 	q := &request{id: e.ID, class: e.Class, tenant: min(max(e.Tenant, 0), len(r.turn)-1), fn: f,
 		arrived: r.now, deadline: r.now + e.TTL, work: r.workOf(e), worth: r.set.Classes[e.Class].Worth}
@@ -449,7 +451,10 @@
 			best, bestKey, free = w, key, key < 2<<20
 		}
 	}
-	if fresh != nil && (best == nil || bestKey >= 3<<20 || freshKey < bestKey && !r.ahead(q.fn, fresh)) {
+	loaded := func(p *place) bool { return p.loaded }
+	_, loading := r.standing(q)
+	use := fresh != nil && (!loading || slices.ContainsFunc(q.fn.places, loaded)) // first copy: wait
+	if use && (best == nil || bestKey >= 3<<20 || freshKey < bestKey && !r.ahead(q.fn, fresh)) {
 		return fresh, true
 	}
 	return best, free
@@ -473,7 +478,7 @@
 // of the lanes and homePart of an even worker's load, as far as memory bears it (spread), with leastPart of a
 // call at work at each. Its share is judged from our own calls; one that has seen few stays at one home.
 func (r *Router) homes(q *request) int {
-	fleet := r.calls / fadeOver.Seconds()
+	fleet := r.calls / r.span.Seconds()
 	if r.fleet > 0 {
 		fleet = min(fleet, r.fleet)
 	}
@@ -609,10 +614,10 @@
 			r.overdue(q)
 		}
 	}
-	if r.now-r.pruned > fadeOver { // what nobody has called for long is forgotten
+	if r.now-r.pruned > forgetAfter { // what nobody has called for long is forgotten
 		r.pruned = r.now
 		maps.DeleteFunc(r.funcs, func(_ string, f *function) bool {
-			return r.now-f.usedAt > fadeOver && !slices.ContainsFunc(f.places, r.believed)
+			return r.now-f.usedAt > forgetAfter && !slices.ContainsFunc(f.places, r.believed)
 		})
 		gone := func(_ string, w *worker) bool { return w.host.State == Gone && w.inflight == 0 }
 		maps.DeleteFunc(r.workers, gone)
@@ -642,15 +647,10 @@
 			r.strike(a.w, q.class)
 		}
 	}
-	loses := fade(a.w.lost, r.now-a.w.lostAt, lostOver) >= lostEnough
-	if !a.done && !a.doubled && (a.passed >= secondPassed || loses) {
-		devs := float64(patienceDevs)
-		if loses {
-			devs = secondDevs
-		}
-		if c := r.classes[q.class]; ms(r.now-a.at) >= c.mean+devs*c.dev {
-			r.second(q, a)
-		}
+	c, loses := r.classes[q.class], fade(a.w.lost, r.now-a.w.lostAt, lostOver) >= lostEnough
+	if past := ms(r.now-a.at) - c.mean; !a.done && !a.doubled &&
+		(a.passed >= secondPassed && past >= patienceDevs*c.dev || loses && past >= secondDevs*c.dev) {
+		r.second(q, a)
 	}
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -857,6 +857,29 @@
 	}
 }
 
+// Popularity moves on, and idle copies lapse after the keep-alive: a function that was hot must give its homes up about
+// as soon, and one that became hot get them. Counted over 30 s, calls went to homes for what was asked a day ago.
+func TestHomesFollowPopularityWithinTheKeepAlive(t *testing.T) {
+	s := site()
+	s.Gateways, s.KeepAlive = 100, 5*sec
+	f := start(t, s, 30)
+	spell := func(fn string) {
+		for range 100 {
+			id := f.call(0, 0, fn)
+			f.pass(50 * time.Millisecond)
+			f.result(f.of(id)[0], Good, FoundWarm)
+		}
+	}
+	spell("old")
+	was := f.r.homes(&request{fn: f.r.funcs["old"]})
+	spell("new")
+	f.call(0, 0, "old")
+	old, now := f.r.homes(&request{fn: f.r.funcs["old"]}), f.r.homes(&request{fn: f.r.funcs["new"]})
+	if was < 8 || now < was*2/3 || old > was/2 {
+		t.Errorf("%d homes while it was hot, %d a keep-alive later; %d for what is hot now", was, old, now)
+	}
+}
+
 // Calls sent to another home of a hot function waited there for its load though copies stood idle elsewhere. Now the copy
 // is ordered, one at a time, and the home is used once it stands; without orders left a call loads as before.
 func TestCopiesAtFurtherHomesAreOrderedAhead(t *testing.T) {
