--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,7 +30,7 @@
 	aimPart      = 0.4                    // warm latency above this part of the aim closes the window
 	unevenPart   = 2                      // a gateway may see so many times its even part of a tenant's calls
 	shareBurst   = 3                      // seconds of a tenant's allowance that may be saved up
-	jamPart      = 0.4                    // a mean latency above this part of the aim presses the fleet
+	jamPart      = 0.25                   // a mean latency above this part of the aim presses the fleet
 	gainPart     = 0.3                    // weight of an answer in the running mean of its worker
 	unseenCalls  = 10                     // a latency of one aim counts as so many calls of others there
 	hopeDevs     = 3                      // a held call is given up if one of mean + so many deviations,
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -890,7 +890,7 @@
 	fn := f.r.funcs["fn"]
 	hot := func() { fn.calls, f.r.calls, f.r.calledAt, fn.usedAt = 3000, 3000, f.now, f.now }
 	hot()
-	f.r.workers[home].part = 1 // busier than the others
+	f.r.workers[home].part = 0.7 // busier than the others
 	orders := func() (n int) {
 		for _, a := range f.acts {
 			if strings.Contains(a, " order ") {
@@ -914,19 +914,40 @@
 	if id := f.call(0, 0, "fn"); f.of(id)[0].host != next {
 		t.Error("the copy that was ordered is not used")
 	}
-	f.r.workers[next].part, f.r.workers[home].part = 0.5, 0.5
+	f.r.workers[next].part, f.r.workers[home].part = 0.35, 0.35
 	if id := f.call(0, 0, "fn"); f.of(id)[0].host == home || f.of(id)[0].host == next || orders() != 1 {
 		t.Error("with no order left the third home should load by the call")
 	}
 }
 
+// In a fleet that answers in a third of the aim, copies for a hot function's further homes took cores, memory and the
+// store from calls: no order and no load for one, until answers are prompt again.
+func TestBusyFleetGetsNoFurtherCopies(t *testing.T) {
+	for part, further := range map[float64]bool{0.32: false, 0.18: true} {
+		f := start(t, site(), 3)
+		home := f.warm(0, "fn")
+		fn := f.r.funcs["fn"]
+		fn.calls, f.r.calls, f.r.calledAt, fn.usedAt = 3000, 3000, f.now, f.now
+		for _, w := range f.r.ready {
+			w.part = part
+		}
+		f.r.workers[home].part += 0.05 // the other homes are thought freer
+		f.r.workers[home].deficit[0] = -1
+		n := len(f.acts)
+		id := f.call(0, 0, "fn")
+		if f.of(id)[0].host != home || strings.Contains(strings.Join(f.acts[n:], " "), "order") != further {
+			t.Errorf("at %v of the aim: another copy wanted: %v; %v", part, further, f.acts[n:])
+		}
+	}
+}
+
 // A worker that takes no orders (one reached by MQTT, or one without room) still gets calls that load there.
 func TestWorkerThatTakesNoOrdersGetsCalls(t *testing.T) {
 	f := start(t, site(), 2)
 	home := f.warm(0, "fn")
 	fn := f.r.funcs["fn"]
 	fn.calls, f.r.calls, f.r.calledAt, fn.usedAt = 3000, 3000, f.now, f.now
-	f.r.workers[home].part = 0.7
+	f.r.workers[home].part = 0.45
 	f.call(0, 0, "fn")
 	other := map[string]string{"w0": "w1", "w1": "w0"}[home]
 	f.do(Loaded{Host: other, Function: "fn", Outcome: Full})
