Doubt copies once most warm calls are overdue, so a flush does not stop the store

Nothing drops the belief: lines at fault are in warmChoice and learn, where a place stays loaded until an answer tells otherwise, which takes the load's 2 s. Meanwhile every home of every function is asked to load.

Now: each warm call that becomes overdue, and each found copy, moves a running share; above 0.4 the copies that no later call has found are no longer believed in (at their workers these calls count as loads), and calls of a function wait for its first.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,6 +30,7 @@
 	aimPart      = 0.4                    // warm latency above this part of the aim closes the window
 	unevenPart   = 2                      // a gateway may see so many times its even part of a tenant's calls
 	shareBurst   = 3                      // seconds of a tenant's allowance that may be saved up
+	doubtMost    = 0.4                    // with this part of the warm calls overdue, copies are doubted
 	jamPart      = 0.25                   // a mean latency above this part of the aim presses the fleet
 	gainPart     = 0.3                    // weight of an answer in the running mean of its worker
 	unseenCalls  = 10                     // a latency of one aim counts as so many calls of others there
@@ -65,20 +66,18 @@
 
 // Router decides for one gateway. It is not safe for concurrent use.
 type Router struct {
-	set      Settings
-	gw       Gateway
-	rng      *rand.Rand
-	now      time.Duration
-	workers  map[string]*worker
-	ready    []*worker // workers that may take new work, by name
-	funcs    map[string]*function
-	open     []*request // in order of arrival; ended ones are dropped at the sweep
-	byID     map[uint64]*request
-	held     []*request
-	classes  []classStat
-	turn     []float64 // Qu counters, a tenant each
-	tokens   []float64 // allowances, a tenant each
-	refilled []time.Duration
+	set          Settings
+	gw           Gateway
+	rng          *rand.Rand
+	now          time.Duration
+	workers      map[string]*worker
+	ready        []*worker // workers that may take new work, by name
+	funcs        map[string]*function
+	open, held   []*request // in order of arrival, ended ones dropped at the sweep; by worth
+	byID         map[uint64]*request
+	classes      []classStat
+	turn, tokens []float64 // Qu counters and allowances, a tenant each
+	refilled     []time.Duration
 
 	seconds                  float64         // second copies that may be sent
 	arrivals, orders         []time.Duration // times within the ration's window
@@ -87,9 +86,10 @@
 	fleet                    float64         // even part of all allowances, calls a second
 	late                     float64         // latency as a part of the aim, of late, all workers
 	calls                    float64         // own calls of late, fading
+	doubt                    float64         // part of the warm calls of late that became overdue
 	spread                   float64         // how freely functions are given homes, by what the memory bears
 	goodAt, calledAt, pruned time.Duration
-	span                     time.Duration // over which own calls fade: what was called before lapses
+	span                     time.Duration // over which own calls fade
 }
 
 type worker struct {
@@ -117,11 +117,11 @@
 }
 
 type place struct { // a believed-warm worker of a function
-	w        *worker
-	inflight int
-	lastSend time.Duration
-	loaded   bool          // an answer has shown a loaded copy
-	ordered  time.Duration // an order for it may be out until then; below 0: failed, none until that
+	w                *worker
+	inflight         int
+	lastSend, proven time.Duration // proven: when the last call was sent that found the copy
+	loaded           bool          // an answer has shown a loaded copy
+	ordered          time.Duration // an order for it may be out until then; below 0: failed, none until that
 }
 
 type function struct {
@@ -148,18 +148,16 @@
 }
 
 type attempt struct {
-	w       *worker
-	p       *place
-	at      time.Duration
-	charged float64 // ms taken from the counters so far
-	warm    bool    // sent to a copy that should stand
-	held    bool    // released from hold
-	done    bool
-	mayRun  bool // cleared by an outcome that proves otherwise
-	cut     bool // retracted by us
-	late    bool // overdue, and held against its worker
-	doubled bool // a second copy was tried
-	passed  int  // calls sent later to its worker that have been answered
+	w             *worker
+	p             *place
+	at            time.Duration
+	charged       float64 // ms taken from the counters so far
+	warm          bool    // sent to a copy that should stand
+	mayRun        bool    // cleared by an outcome that proves otherwise
+	done, cut     bool    // ended; retracted by us
+	late          bool    // overdue, and held against its worker
+	held, doubled bool    // released from hold; a second copy was tried
+	passed        int     // calls sent later to its worker that have been answered
 }
 
 type classStat struct {
@@ -306,8 +304,7 @@
 }
 
 // overShare takes a token of the tenant's allowance, as much of it as this gateway may well see (clients keep
-// to theirs, and a busy one's calls are as good as others'), and reports whether there was none.
-// Under pressure such a request is refused before it costs what the others need.
+// to theirs), and reports whether there was none: under pressure such a request is refused at once.
 func (r *Router) overShare(t int) bool {
 	if t >= len(r.set.Tenants) || r.set.Tenants[t].PerSec <= 0 {
 		return false
@@ -432,12 +429,10 @@
 				fresh, freshKey = w, key
 			}
 			continue
-		case !p.loaded && p.inflight >= q.fn.lanes:
+		case !p.loaded && p.inflight >= q.fn.lanes, p.inflight >= q.fn.lanes*(1+queueDepth):
 			continue // what a copy cannot start with waits here, not in the worker's queue
 		case !p.loaded:
 			key += 3 << 20
-		case p.inflight >= q.fn.lanes*(1+queueDepth):
-			continue
 		case p.inflight >= q.fn.lanes:
 			key += 2 << 20
 		}
@@ -561,8 +556,7 @@
 
 // ---- release of held requests ----
 
-// release is DLPM over the held: positive tenants only, warm matches first, in order of arrival; when none
-// can go, those at or below nought gain Qu: a positive tenant that cannot be placed does not keep the turn.
+// release is DLPM over the held: warm matches first, positive tenants only; others gain Qu if none can go.
 func (r *Router) release() {
 	for len(r.held) > 0 && slices.ContainsFunc(r.ready, r.room) {
 		r.held = slices.DeleteFunc(r.held, func(q *request) bool { return !q.held })
@@ -642,10 +636,12 @@
 func (r *Router) overdue(q *request) {
 	a := &q.attempts[len(q.attempts)-1]
 	if !a.done && !a.late && r.now-a.at >= r.patience(q, a) {
-		a.late = true
-		if a.passed < secondPassed { // else its worker answers, and has lost this call
+		if a.late = true; a.passed < secondPassed { // else its worker answers, and has lost this call
 			r.strike(a.w, q.class)
 		}
+		if r.doubt += 2 * gainFast * (1 - r.doubt); a.warm && r.doubt > doubtMost {
+			r.flushed(a.at)
+		}
 	}
 	c, loses := r.classes[q.class], fade(a.w.lost, r.now-a.w.lostAt, lostOver) >= lostEnough
 	if past := ms(r.now-a.at) - c.mean; !a.done && !a.doubled &&
@@ -657,20 +653,16 @@
 // passed counts, for the calls out at a worker, those that were sent there later and have been answered.
 func (r *Router) passed(b *attempt) {
 	for _, q := range r.open {
-		if q.ended {
-			continue
-		}
 		for i := range q.attempts {
-			if a := &q.attempts[i]; a.p == b.p && !a.done && a.at < b.at {
+			if a := &q.attempts[i]; !q.ended && a.p == b.p && !a.done && a.at < b.at {
 				a.passed++
 			}
 		}
 	}
 }
 
-// second sends another copy of an overdue call: to another believed-warm worker with a free lane, else to
-// the same one, which drops a repeat of a key that it knows. Guards against workers and connections that lose
-// single calls while they answer the rest; in a pressed fleet, or without a bound, it would add to the load.
+// second sends an overdue call again: to another believed-warm worker with a free lane, else to the same one,
+// which drops a repeat of a key. Guards against lost calls; unbounded, or if pressed, it would add load.
 func (r *Router) second(q *request, a *attempt) {
 	if !r.set.Parallel || !a.warm || r.seconds < 1 || r.pressed() {
 		return
@@ -740,8 +732,7 @@
 		return false
 	}
 	w.cold = append(w.cold, r.now)
-	q.attempts = append(q.attempts,
-		attempt{w: w, p: p, at: r.now, mayRun: true, held: q.held})
+	q.attempts = append(q.attempts, attempt{w: w, p: p, at: r.now, mayRun: true, held: q.held})
 	a := &q.attempts[len(q.attempts)-1]
 	a.warm = p.loaded || r.homes(q) > 1
 	q.out++
@@ -842,12 +833,7 @@
 		!r.mayRepeat(q, w) || !r.coldRoom(w) {
 		return false
 	}
-	for i := range q.attempts {
-		if a := &q.attempts[i]; a.w == w && (strict || !a.done) {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.w == w && (strict || !a.done) })
 }
 
 // judge marks the workers that look unfit for a class: set aside for a failure or an overdue call. A cap
@@ -887,6 +873,8 @@
 			r.spread = max(spreadLeast, min(r.spread, spreadMost))
 		}
 		if e.Note == FoundWarm || !r.set.MarksCold {
+			r.doubt -= 2 * gainFast * r.doubt
+			p.proven = max(p.proven, a.at)
 			c.dev += gainFast / 2 * (math.Abs(took-c.mean) - c.dev)
 			c.mean += gainFast / 2 * (took - c.mean)
 			part := took / ms(r.set.Classes[q.class].Aim)
@@ -951,10 +939,8 @@
 }
 
 func (f *function) at(w *worker) *place {
-	for _, p := range f.places {
-		if p.w == w {
-			return p
-		}
+	if i := slices.IndexFunc(f.places, func(p *place) bool { return p.w == w }); i >= 0 {
+		return f.places[i]
 	}
 	return nil
 }
@@ -970,6 +956,21 @@
 	}
 }
 
+// flushed drops the belief in copies that no call sent after t has found: all their homes would load at once.
+func (r *Router) flushed(t time.Duration) {
+	r.doubt = 0
+	for _, f := range r.funcs {
+		for _, p := range f.places {
+			if p.loaded && p.proven < t {
+				p.loaded = false
+				if p.w.busy -= p.inflight; p.inflight > 0 {
+					p.w.loads++
+				}
+			}
+		}
+	}
+}
+
 // drop clears the belief about f at w.
 func (f *function) drop(w *worker) {
 	f.places = slices.DeleteFunc(f.places, func(p *place) bool { return p.w == w })
