Add the operators' door with drain, figures and bans, and keep long answers whole

Change: opfront (one line, one reply, ahead of all other work on the turn, 24 callers at most), roster (the list and the bans, a banned worker is told to the module as draining), figures in core, drain and resume of the HTTP and MQTT fronts. A connection is closed only once the kernel has its whole answer (httpfront.flush closed at once and lost what nbio held).

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -65,6 +65,7 @@
 type Ends interface {
 	Ended(attempt Ref, how decide.Outcome, note decide.Note, body []byte)
 	Loaded(order Ref, how decide.Outcome, copies int)
+	Wrote(attempts int) // so many were written whole
 }
 
 // Member is an entry of the list of workers and where it listens.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"quillrail/decide"
+	"quillrail/internal/roster"
 )
 
 const (
@@ -28,6 +29,9 @@
 	ids      map[string]Ref // of the open requests, as the clients wrote them
 	attempts *Table[*attempt]
 	orders   *Table[*order]
+	roster   *roster.Roster
+	counts   []Counts
+	tries    uint64
 
 	queue  []decide.Event // events raised while the module handles one
 	inside bool
@@ -62,7 +66,8 @@
 func New(loop *Loop, set decide.Settings, seed uint64, workers Workers, observe Observer, log *zap.Logger) (*Core, error) {
 	c := &Core{loop: loop, log: log, workers: workers, observe: observe, maxPause: set.MaxRetryAfter,
 		timeout: set.OrderTimeout, requests: NewTable[*request](maxRequests), ids: map[string]Ref{},
-		attempts: NewTable[*attempt](maxRequests * max(1, set.MaxAttempts)), orders: NewTable[*order](maxOrders)}
+		attempts: NewTable[*attempt](maxRequests * max(1, set.MaxAttempts)), orders: NewTable[*order](maxOrders), roster: roster.New(),
+		counts: make([]Counts, len(set.Classes))}
 	c.inside = true
 	var err error
 	c.router, err = decide.New(set, seed, (*gateway)(c))
@@ -87,25 +92,27 @@
 // Open is the number of requests that have no final answer yet.
 func (c *Core) Open() int { return c.requests.Len() }
 
-// List passes on what the bulletin says of the workers.
+// List passes on what the bulletin says of the workers, to the module as the bans have it.
 func (c *Core) List(whole bool, members []Member) {
 	c.workers.List(whole, members)
-	ev := decide.List{Whole: whole}
-	for _, m := range members {
-		ev.Hosts = append(ev.Hosts, m.Host)
+	hosts := make([]decide.Host, len(members))
+	for i, m := range members {
+		hosts[i] = m.Host
 	}
-	c.handle(ev)
+	c.handle(c.roster.List(whole, hosts))
 }
 
 // Take takes in a request. The Ref it returns is zero when the request was answered at once.
 func (c *Core) Take(call Call) Ref {
 	r := &request{call: call, start: c.loop.Now(), deadline: c.loop.Now() + call.Wait}
 	if _, open := c.ids[call.ID]; open { // two would be one to the workers, and each take the other's answer
+		c.count(call.Class, "failed")
 		call.Reply.Failed(Duplicate)
 		return 0
 	}
 	ref, ok := c.requests.Put(r)
 	if !ok {
+		c.count(call.Class, "refused")
 		call.Reply.Refused(0)
 		return 0
 	}
@@ -149,6 +156,7 @@
 	c.loop.Cancel(r.over)
 	c.requests.Free(r.ref)
 	delete(c.ids, r.call.ID)
+	c.count(r.call.Class, answer)
 	if c.observe != nil {
 		c.observe(Record{Call: &r.call, Bytes: len(r.call.Body), Start: r.start, End: c.loop.Now(), Answer: answer, Attempts: len(r.shots),
 			Host: r.last})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -22,9 +22,17 @@
 	left    map[int]bool // whose client has gone
 	records []core.Record
 	orders  []core.Ref
+	news    []string // workers that something new went to
 }
 
-func (b *bench) Send(a core.Attempt) { b.out = append(b.out, a) }
+// fresh returns the workers that something new went to since the last call.
+func (b *bench) fresh() []string {
+	news := b.news
+	b.news = nil
+	return news
+}
+
+func (b *bench) Send(a core.Attempt) { b.out, b.news = append(b.out, a), append(b.news, a.Host) }
 func (b *bench) Cancel(_ string, ref core.Ref) {
 	for i, a := range b.out {
 		if a.Ref == ref {
@@ -34,11 +42,13 @@
 	}
 	b.T.Errorf("attempt %x was given up though it is not out", ref)
 }
-func (b *bench) Load(ref core.Ref, _, _ string, _ int) { b.orders = append(b.orders, ref) }
-func (b *bench) Forget(string, core.Ref)               {}
-func (b *bench) Unload(string, string)                 {}
-func (b *bench) Release(string)                        {}
-func (b *bench) List(bool, []core.Member)              {}
+func (b *bench) Load(ref core.Ref, host, _ string, _ int) {
+	b.orders, b.news = append(b.orders, ref), append(b.news, host)
+}
+func (b *bench) Forget(string, core.Ref)  {}
+func (b *bench) Unload(string, string)    {}
+func (b *bench) Release(string)           {}
+func (b *bench) List(bool, []core.Member) {}
 
 func newBench(t testing.TB) *bench {
 	b := &bench{World: wiretest.New(t), left: map[int]bool{}}
--- /dev/null
+++ b/internal/core/figures.go
@@ -0,0 +1,60 @@
+package core
+
+// Counts are the requests of one class that have ended, by their answer. A request whose client had gone is in none.
+type Counts struct{ OK, Shed, Errors uint64 }
+
+// Figures are what a gateway counts. The counters start at 0 with the process; the rest is read from the tables.
+type Figures struct {
+	Classes     []Counts // in the order of the settings
+	Tries       uint64   // attempts written whole to workers
+	Active      int      // requests taken and not yet ended
+	PoolSize    int      // workers in the list
+	PoolEjected int      // of these, left out by hand or by the module
+}
+
+// Figures returns them as they stand.
+func (c *Core) Figures() Figures {
+	f := Figures{Classes: append([]Counts(nil), c.counts...), Tries: c.tries, Active: c.Open(), PoolSize: c.roster.Size()}
+	for _, name := range c.roster.Names() {
+		if c.roster.Banned(name) || c.router.Avoids(name) {
+			f.PoolEjected++
+		}
+	}
+	return f
+}
+
+// count notes the answer that a request of a class was given.
+func (c *Core) count(class int, answer string) {
+	if class < 0 || class >= len(c.counts) {
+		return
+	}
+	switch n := &c.counts[class]; answer {
+	case "served":
+		n.OK++
+	case "refused":
+		n.Shed++
+	case "failed":
+		n.Errors++
+	}
+}
+
+// Wrote says that so many attempts were written whole.
+func (c *Core) Wrote(n int) { c.tries += uint64(n) }
+
+// Disable leaves a worker out, by hand, until Enable.
+func (c *Core) Disable(id string) error {
+	ev, err := c.roster.Disable(id)
+	if err == nil && len(ev.Hosts) > 0 {
+		c.handle(ev)
+	}
+	return err
+}
+
+// Enable uses a worker again that was left out by hand.
+func (c *Core) Enable(id string) error {
+	ev, err := c.roster.Enable(c.loop.Now(), id)
+	if err == nil && len(ev.Hosts) > 0 {
+		c.handle(ev)
+	}
+	return err
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,6 +23,8 @@
 	room  sync.Cond
 	box   []func()
 	spare []func()
+	first []func() // goes before the box, also before what of it a turn has not come to
+	rush  atomic.Bool
 	wake  chan struct{}
 	dirty []func()
 }
@@ -56,6 +59,35 @@
 	}
 }
 
+// PostFirst is Post for the few things that must not wait behind the rest: they run after the piece of work that the
+// turn is at. Their order among themselves is kept.
+func (l *Loop) PostFirst(f func()) {
+	l.mu.Lock()
+	for len(l.first) >= mailboxLimit/16 {
+		l.room.Wait()
+	}
+	l.first = append(l.first, f)
+	l.rush.Store(true)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// runFirst runs what was posted with PostFirst.
+func (l *Loop) runFirst() {
+	l.mu.Lock()
+	work := l.first
+	l.first = nil
+	l.rush.Store(false)
+	l.room.Broadcast()
+	l.mu.Unlock()
+	for _, f := range work {
+		f()
+	}
+}
+
 // Dirty has flush called at the end of this turn. Callers mark themselves once a turn.
 func (l *Loop) Dirty(flush func()) { l.dirty = append(l.dirty, flush) }
 
@@ -68,10 +100,16 @@
 	l.mu.Unlock()
 	l.now = max(l.now, l.clock())
 	for i, f := range work {
+		if l.rush.Load() {
+			l.runFirst()
+		}
 		f()
 		work[i] = nil
 	}
 	l.spare = work
+	if l.rush.Load() {
+		l.runFirst()
+	}
 	l.Sweep(l.now)
 	for i := 0; i < len(l.dirty); i++ { // a flush may mark others
 		l.dirty[i]()
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -12,12 +12,14 @@
 
 	"quillrail/internal/lifecycle/settings"
 	"quillrail/internal/wire/bulletin"
+	"quillrail/internal/wire/opfront"
 )
 
 // Config is all that a gateway is told.
 type Config struct {
 	Name     string
 	Listen   string
+	Operator string // where operators call, empty if nowhere
 	Seed     uint64
 	Cores    float64
 	MemoryMB int
@@ -33,11 +35,20 @@
 // few that are on their way out.
 func (c *Config) clients() int { return c.Sockets/3 + 8 }
 
+// own is the number of descriptors kept for the process itself and for operators.
+func (c *Config) own() int {
+	if c.Operator == "" {
+		return ownSockets
+	}
+	return ownSockets + opfront.Sockets
+}
+
 type configFile struct {
-	Name   string `json:"name"`
-	Listen string `json:"listen"`
-	Seed   string `json:"seed"`
-	Limits struct {
+	Name     string `json:"name"`
+	Listen   string `json:"listen"`
+	Operator string `json:"operator"`
+	Seed     string `json:"seed"`
+	Limits   struct {
 		Cores    float64 `json:"cores"`
 		MemoryMB int     `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
@@ -77,6 +88,9 @@
 	if listen := os.Getenv("NODE_LISTEN"); listen != "" {
 		c.Listen = listen
 	}
+	if operator := os.Getenv("NODE_OPERATOR"); operator != "" {
+		c.Operator = operator
+	}
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
@@ -93,7 +107,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("seed %q is not 16 hex digits", f.Seed)
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Seed: seed, Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
+	c := &Config{Name: f.Name, Listen: f.Listen, Operator: f.Operator, Seed: seed, Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
 		Sockets: f.Limits.Sockets, Bulletin: f.Bulletin}
 	if c.Site, err = settings.Parse(f.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -108,6 +122,11 @@
 	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	if c.Operator != "" {
+		if _, _, err := net.SplitHostPort(c.Operator); err != nil {
+			return fmt.Errorf("operator: %w", err)
+		}
+	}
 	if _, _, err := net.SplitHostPort(c.Bulletin); err != nil {
 		return fmt.Errorf("bulletin: %w", err)
 	}
--- /dev/null
+++ b/internal/lifecycle/operator_test.go
@@ -0,0 +1,106 @@
+package lifecycle
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"quillrail/internal/core"
+)
+
+// served starts a gateway on loopback with a door for operators, and its turns.
+func served(t *testing.T) *Gateway {
+	t.Helper()
+	c, err := ParseConfig([]byte(strings.NewReplacer("%BULLETIN%", "127.0.0.1:1", "%WORKER%", "127.0.0.1:1",
+		`"listen":`, `"operator":"127.0.0.1:0","listen":`).Replace(text)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Side = &Side{}
+	g, err := Start(c, core.WallClock, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	end, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			select {
+			case <-end:
+				return
+			default:
+				g.loop.Wait()
+				g.loop.Turn()
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		close(end)
+		g.loop.Post(func() {})
+		<-ended
+		g.net.Stop()
+		g.door.Stop()
+	})
+	return g
+}
+
+// ask makes one operator's call on a real socket.
+func ask(t *testing.T, g *Gateway, call string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", g.door.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "%s\n", call)
+	got, err := io.ReadAll(conn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(got)
+}
+
+// Operators' calls on real sockets: their replies, what they do to readiness, and the figures by their names.
+func TestOperatorsDoor(t *testing.T) {
+	g := served(t)
+	for _, step := range [][2]string{
+		{"ready", "SUCCESS\n"},
+		{"disable-server s-00c41f7a", "SUCCESS\n"},
+		{"disable-server s-00c41f7a", "SUCCESS\n"},
+		{"disable-server s-ffffffff", "FAILURE no such worker\n"},
+		{"show-stat", "SUCCESS\nsvc.responses.read.ok:0|c\nsvc.responses.read.shed:0|c\nsvc.responses.read.errors:0|c\n" +
+			"svc.tries:0|c\nsvc.active:0|g\nsvc.pool_size:1|g\nsvc.pool_ejected:1|g\n" +
+			"svc.config_applied:0|c\nsvc.config_rejected:0|c\nEOT\n"},
+		{"enable-server s-00c41f7a", "SUCCESS\n"},
+		{"drain", "SUCCESS\n"},
+		{"drain", "SUCCESS\n"},
+		{"ready", "FAILURE not ready\n"},
+		{"resume", "SUCCESS\n"},
+		{"ready", "SUCCESS\n"},
+	} {
+		if got := ask(t, g, step[0]); got != step[1] {
+			t.Errorf("%s: %q, want %q", step[0], got, step[1])
+		}
+	}
+	done := make(chan struct{})
+	g.loop.Post(func() { // SIGHUP with a configuration that can't be read, and with one that can, then SIGTERM
+		g.reload(nil, io.ErrUnexpectedEOF)
+		g.reload(g.conf, nil)
+		g.done = func() {}
+		g.drain()
+		close(done)
+	})
+	<-done
+	if got := ask(t, g, "show-stat"); !strings.Contains(got, "svc.config_applied:1|c\nsvc.config_rejected:1|c\n") {
+		t.Errorf("figures %q", got)
+	}
+	for _, call := range []string{"ready", "resume"} {
+		if got := ask(t, g, call); got != "FAILURE the process is ending\n" {
+			t.Errorf("%s after SIGTERM: %q", call, got)
+		}
+	}
+}
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -16,6 +16,7 @@
 	"quillrail/internal/wire/httpfront"
 	"quillrail/internal/wire/ipfix"
 	"quillrail/internal/wire/mqtt"
+	"quillrail/internal/wire/opfront"
 	"quillrail/internal/wire/sock"
 	"quillrail/internal/wire/workerlink"
 )
@@ -26,6 +27,7 @@
 	longestDrain = 3 * time.Second        // a longer deadline counts as this to the platform
 	drainMargin  = 400 * time.Millisecond // what is open then is answered, so long before SIGKILL can come
 	lastFlush    = 100 * time.Millisecond // for the last answers to leave the sockets
+	heldPart     = 8                      // of the memory is for answers to clients that read slowly
 	memoryPart   = 0.6                    // of the limit that the Go runtime may take before it collects harder
 )
 
@@ -41,8 +43,11 @@
 	log   *zap.Logger
 	feed  *bulletin.Feed
 	conf  *Config
+	door  *sock.Net // nil where operators have none
 	term  bool
-	done  context.CancelFunc
+
+	applied, rejected uint64 // configurations read at SIGHUP
+	done              context.CancelFunc
 }
 
 // Serve runs a gateway until ctx ends, then drains it. Each signal on hup has the configuration read again.
@@ -76,7 +81,7 @@
 // Start brings the parts of a gateway up; its Loop is still to be run.
 func Start(c *Config, clock func() time.Duration, log *zap.Logger) (*Gateway, error) {
 	loop := core.NewLoop(clock)
-	front := httpfront.New(loop, c.Site, c.clients(), log.Named("http"))
+	front := httpfront.New(loop, c.Site, c.clients(), c.MemoryMB<<20/heldPart, log.Named("http"))
 	net, err := sock.Listen(c.Listen, c.Sockets, front.Accept, log)
 	if err != nil {
 		return nil, err
@@ -86,6 +91,14 @@
 		net.Stop()
 		return nil, err
 	}
+	if c.Operator != "" {
+		door := opfront.New(loop, (*desk)(g), log.Named("operator"))
+		if g.door, err = sock.Listen(c.Operator, opfront.Sockets, door.Accept, log); err != nil {
+			net.Stop()
+			return nil, err
+		}
+		log.Info("operators are heard", zap.String("at", g.door.Addr()))
+	}
 	return g, nil
 }
 
@@ -97,7 +110,7 @@
 		g.flows = ipfix.New(loop, net, c.Side.exportOptions(c.Site), log.Named("ipfix"))
 		observe = g.flows.Observe
 	}
-	pool := workerlink.New(loop, net, c.Site, c.Sockets-c.clients()-ownSockets, log.Named("workers"))
+	pool := workerlink.New(loop, net, c.Site, c.Sockets-c.clients()-c.own(), log.Named("workers"))
 	var workers core.Workers = pool
 	tell := func(whole bool, members []core.Member) { g.core.List(whole, members) }
 	told := tell
@@ -146,9 +159,11 @@
 // else goes on. A configuration that can't be used is logged, and the old one stays.
 func (g *Gateway) reload(c *Config, err error) {
 	if err != nil {
+		g.rejected++
 		g.log.Error("configuration not reloaded", zap.Error(err))
 		return
 	}
+	g.applied++
 	if o := g.conf; c.Listen != o.Listen || c.MemoryMB != o.MemoryMB || c.Sockets != o.Sockets || c.Cores != o.Cores ||
 		!reflect.DeepEqual(c.Site, o.Site) {
 		g.log.Warn("listen, limits and settings stay as they are until a restart")
@@ -187,13 +202,13 @@
 }
 
 func (g *Gateway) finish() {
-	if g.core.Open() > 0 || g.calls != nil && g.calls.Up() && g.calls.Waiting() > 0 {
+	if g.core.Open() > 0 || g.front.Held() > 0 || g.calls != nil && g.calls.Up() && g.calls.Waiting() > 0 {
 		g.loop.After(10*time.Millisecond, g.finish)
 		return
 	}
 	g.front.Closing()
 	g.loop.After(lastFlush, func() {
-		if g.core.Open() > 0 { // a call came in meanwhile
+		if g.core.Open() > 0 || g.front.Held() > 0 { // a call came in meanwhile
 			g.finish()
 			return
 		}
--- a/internal/wire/httpfront/front.go
+++ b/internal/wire/httpfront/front.go
@@ -19,9 +19,14 @@
 const (
 	idleLimit   = 30 * time.Second        // a connection with no open request
 	readLimit   = 2500 * time.Millisecond // for a connection's first request, and for the rest of one that has begun
+	slowLimit   = 15 * time.Second        // for the client to take an answer
 	lingerLimit = 500 * time.Millisecond  // and
 	lingerBytes = 4 << 20                 // for what still comes on a connection whose last answer has been given
 	pipelined   = 4                       // requests that may wait on one connection behind the open one
+
+	awayIdle  = 500 * time.Millisecond  // sent away, a client's connection may do nothing for so long,
+	awayTake  = 1800 * time.Millisecond // and calls are taken for so long after the drain has begun
+	awayPause = time.Second             // then clients are told to come back after this
 )
 
 var errSpilt = errors.New("more input than is worth discarding")
@@ -39,15 +44,22 @@
 	set     *settings.Site
 	log     *zap.Logger
 	conns   *core.Table[*conn]
+	mayHold int // bytes kept for clients that read slowly, all together,
+	held    int // and as many are
 	soft    int // connections from which on a new one takes the place of one that does nothing
 	ready   bool
 	closing bool
+	away    bool           // drained: clients are sent away
+	shut    bool           // and no call of theirs is taken any more
+	turn    *core.Deadline // of the drain's next step
 }
 
 // New returns a front that holds at most limit connections, and from two thirds of it on as few idle ones as it can:
 // clients that hold theirs for good must not use up what the platform lets clients connect.
-func New(loop *core.Loop, set *settings.Site, limit int, log *zap.Logger) *Front {
-	return &Front{loop: loop, set: set, log: log, conns: core.NewTable[*conn](limit), soft: max(1, limit*2/3)}
+// mayHold bounds the bytes that are kept for clients that read slowly, all together.
+func New(loop *core.Loop, set *settings.Site, limit, mayHold int, log *zap.Logger) *Front {
+	return &Front{loop: loop, set: set, log: log, conns: core.NewTable[*conn](limit), soft: max(1, limit*2/3),
+		mayHold: mayHold}
 }
 
 // Serve makes the front answer: /check is 200 from now on.
@@ -56,6 +68,47 @@
 // Conns is the number of connections that are open.
 func (f *Front) Conns() int { return f.conns.Len() }
 
+// Ready reports whether clients are told to come.
+func (f *Front) Ready() bool { return f.ready && !f.away && !f.closing }
+
+// Drain sends clients away: /check answers no, answers end their connection, and connections on which nothing
+// happens are closed once the platform has stopped sending new ones. Until awayTake calls that still come are taken.
+func (f *Front) Drain() {
+	if f.away {
+		return
+	}
+	f.away = true
+	f.turn = f.loop.After(awayIdle, func() {
+		f.dropIdle()
+		f.turn = f.loop.After(awayTake-awayIdle, func() {
+			f.shut = true
+			f.dropIdle()
+		})
+	})
+}
+
+// Resume takes clients again, from wherever the drain has got to.
+func (f *Front) Resume() {
+	f.loop.Cancel(f.turn)
+	f.away, f.shut = false, false
+}
+
+// dropIdle closes what has no request open. Half a request gets an answer once no more are taken.
+func (f *Front) dropIdle() {
+	f.conns.Each(func(_ core.Ref, c *conn) {
+		switch {
+		case c.open != nil || c.last || c.slow:
+		case !c.busy:
+			c.drop()
+		case f.shut:
+			c.spill = true
+			c.respond(503, awayFields, nil, true)
+		}
+	})
+}
+
+var awayFields = fmt.Sprintf("Srv-Wait-Ms: %d\r\n", awayPause.Milliseconds())
+
 // Closing has every connection closed once its open request is answered.
 func (f *Front) Closing() {
 	f.closing = true
@@ -63,12 +116,15 @@
 		if c.open != nil {
 			return
 		}
-		if c.last = len(c.out) > 0; !c.last { // an answer of this very turn still has to go out
+		if c.last = c.last || c.slow || len(c.out) > 0; !c.last { // an answer still has to go out
 			c.drop()
 		}
 	})
 }
 
+// Held is how many bytes of answers wait for clients that read slowly, as of when each answer was given.
+func (f *Front) Held() int { return f.held }
+
 // conn is one client's connection. The parser and spilt belong to the I/O goroutine, the rest to the turn.
 type conn struct {
 	f      *Front
@@ -84,6 +140,8 @@
 	fresh bool // no whole request has come yet
 	busy  bool // part of a request has come
 	last  bool // close once out is written
+	slow  bool // the client has not made room for all of the last answer
+	held  int  // so much was kept for it when it was last seen
 	spill bool // but read and discard for a while before: a close with input unread would take the answer back
 	gone  bool
 	timer *core.Deadline
@@ -120,6 +178,21 @@
 	return nil
 }
 
+// Flushed says that the client has made room for all that was written.
+func (c *conn) Flushed() { c.f.loop.Post(c.flushed) }
+
+func (c *conn) flushed() {
+	if c.gone || !c.slow {
+		return
+	}
+	if c.letGo(); len(c.out) > 0 { // something was written meanwhile, and is flushed in this turn
+		return
+	}
+	if c.ended(); !c.gone {
+		c.next()
+	}
+}
+
 func (c *conn) Closed(error) { c.f.loop.Post(c.closed) }
 
 func (c *conn) opened() {
@@ -134,7 +207,7 @@
 		return
 	}
 	c.ref = ref
-	c.rest(readLimit)
+	c.rest(c.f.idle(readLimit))
 }
 
 // makeRoom closes the oldest of the connections that have asked nothing yet, or the one that is idle longest,
@@ -143,7 +216,7 @@
 	var oldest [2]*conn
 	var count [2]int
 	f.conns.Each(func(_ core.Ref, o *conn) {
-		if o.open != nil || len(o.out) > 0 {
+		if o.open != nil || o.slow || len(o.out) > 0 {
 			return
 		}
 		kind := 0
@@ -167,7 +240,7 @@
 func (c *conn) rest(d time.Duration) {
 	c.f.loop.Cancel(c.timer)
 	c.timer = c.f.loop.After(d, func() {
-		if c.busy && !c.last {
+		if c.busy && !c.last && !c.slow {
 			c.spill = true
 			c.respond(408, "", nil, true)
 			return
@@ -181,10 +254,18 @@
 	if c.busy {
 		c.rest(readLimit)
 	} else {
-		c.rest(idleLimit)
+		c.rest(c.f.idle(idleLimit))
 	}
 }
 
+// idle is how long a connection on which nothing happens is kept.
+func (f *Front) idle(usual time.Duration) time.Duration {
+	if f.away {
+		return awayIdle
+	}
+	return usual
+}
+
 func (c *conn) take(got []*Request, busy bool, err error) {
 	if c.gone || c.last {
 		return
@@ -194,7 +275,7 @@
 	}
 	c.queue = append(c.queue, got...)
 	c.fresh = c.fresh && len(got) == 0
-	if busy && !c.busy && !c.fresh && c.open == nil && len(got) == 0 { // from its first byte on, not from each
+	if busy && !c.busy && !c.fresh && c.open == nil && !c.slow && len(got) == 0 { // from its first byte on, not from each
 		c.rest(readLimit)
 	}
 	c.busy = busy
@@ -213,7 +294,7 @@
 
 // next begins the requests that wait, one at a time.
 func (c *conn) next() {
-	for c.open == nil && len(c.queue) > 0 && !c.gone && !c.last {
+	for c.open == nil && len(c.queue) > 0 && !c.gone && !c.last && !c.slow { // at most one answer is kept for a client
 		r := c.queue[0]
 		c.queue = c.queue[1:]
 		c.begin(r)
@@ -221,9 +302,9 @@
 }
 
 func (c *conn) begin(r *Request) {
-	last := r.Close || c.f.closing
+	last := r.Close || c.f.closing || c.f.away
 	if r.Method == "GET" && r.Path == "/check" {
-		if c.f.ready {
+		if c.f.ready && !c.f.away {
 			c.respond(200, "", []byte("ready\n"), last)
 		} else {
 			c.respond(503, "Srv-Wait-Ms: 100\r\n", nil, last)
@@ -244,6 +325,11 @@
 		c.settle()
 		return
 	}
+	if c.f.shut {
+		c.respond(503, awayFields, nil, last)
+		c.settle()
+		return
+	}
 	x := &exchange{c: c, last: last}
 	call.Reply = x
 	c.open = x
@@ -258,6 +344,7 @@
 		return
 	}
 	c.gone = true
+	c.letGo()
 	c.f.loop.Cancel(c.timer)
 	c.f.conns.Free(c.ref)
 	if x := c.open; x != nil {
@@ -305,10 +392,50 @@
 		c.out = nil
 	}
 	switch {
-	case err != nil || c.last && !c.spill:
+	case err != nil:
+		c.drop()
+	case c.sock.Unsent() > 0: // the client reads slowly; a close now would cut its answer
+		c.hold()
+	case c.last:
+		c.ended()
+	}
+}
+
+// hold waits for a client that reads slowly. What is kept for all of them is bounded: past it the one that has been at
+// it longest is cut off.
+func (c *conn) hold() {
+	f := c.f
+	n := c.sock.Unsent()
+	f.held += n - c.held
+	c.held, c.slow = n, true
+	c.rest(slowLimit)
+	for f.held > f.mayHold {
+		var oldest *conn
+		f.conns.Each(func(_ core.Ref, o *conn) {
+			if o.slow && (oldest == nil || o.timer.Before(oldest.timer)) {
+				oldest = o
+			}
+		})
+		f.log.Warn("a client that reads slowly was cut off", zap.Int("held", f.held), zap.Int("most", f.mayHold))
+		oldest.drop()
+	}
+}
+
+// letGo says that nothing is kept for the client any more.
+func (c *conn) letGo() {
+	c.f.held -= c.held
+	c.held, c.slow = 0, false
+}
+
+// ended does what is due once an answer has left.
+func (c *conn) ended() {
+	switch {
+	case c.last && !c.spill:
 		c.drop()
 	case c.last:
 		c.rest(lingerLimit)
+	case c.open == nil:
+		c.settle()
 	}
 }
 
@@ -318,7 +445,7 @@
 		return
 	}
 	c.open = nil
-	c.respond(status, fields, body, x.last || c.f.closing)
+	c.respond(status, fields, body, x.last || c.f.closing || c.f.away)
 	if !c.gone {
 		c.settle()
 		c.next()
--- a/internal/wire/httpfront/httpfront_test.go
+++ b/internal/wire/httpfront/httpfront_test.go
@@ -38,7 +38,7 @@
 
 func newFront(t testing.TB, limit int) (*wiretest.World, *Front, *taker) {
 	w, k := wiretest.New(t), &taker{}
-	f := New(w.Loop, wiretest.Site(), limit, w.Log())
+	f := New(w.Loop, wiretest.Site(), limit, 1<<20, w.Log())
 	f.Serve(k)
 	return w, f, k
 }
@@ -148,7 +148,7 @@
 
 func TestNotReadyYet(t *testing.T) {
 	w := wiretest.New(t)
-	f := New(w.Loop, wiretest.Site(), 9, w.Log())
+	f := New(w.Loop, wiretest.Site(), 9, 1<<20, w.Log())
 	if got := say(w, dial(w, f), "GET /check HTTP/1.1\r\n\r\n"); !strings.HasPrefix(got, "HTTP/1.1 503 ") {
 		t.Errorf("answer %q", got)
 	}
--- a/internal/wire/mqtt/front.go
+++ b/internal/wire/mqtt/front.go
@@ -51,8 +51,16 @@
 	keys    *core.Keys // of keyed calls: what they hold is never forgotten early
 	recent  *core.Keys // of safe calls, which may run again if there is no room
 	rng     *rand.Rand
+	away    bool // drained: callers are sent away
 }
 
+// awayPause is when callers that are sent away should come back.
+const awayPause = time.Second
+
+// Drain refuses calls from now on, until Resume; what is open goes on, and what is known is answered as ever.
+func (f *Front) Drain()  { f.away = true }
+func (f *Front) Resume() { f.away = false }
+
 // NewFront returns a front that takes calls of the broker in opt. keep is for how long answers are remembered.
 // observe is told of outcomes that the core is not asked for.
 func NewFront(loop *core.Loop, net sock.Dialer, taker Taker, site *settings.Site, opt Options, keep time.Duration,
@@ -123,6 +131,10 @@
 		e.Join(d.answer)
 		return
 	}
+	if f.away && !(keyed && p.Dup()) { // nothing ran, and nothing is remembered of it
+		d.answer(core.Answer{What: refused, Pause: awayPause})
+		return
+	}
 	listed := false
 	if key != "" {
 		e = keys.Open(key, what)
--- a/internal/wire/mqtt/link.go
+++ b/internal/wire/mqtt/link.go
@@ -123,6 +123,9 @@
 		m.Props.User = append(m.Props.User, Pair{"key", c.Key})
 	}
 	s.pending = l.session.Publish(m, func(reason byte, err error) {
+		if err == nil && reason != NoSubscribers && reason < failureReasons {
+			l.ends.Wrote(1) // the broker has it, and somebody to give it to
+		}
 		switch {
 		case err == errLost: // the state of the session ends all that is open
 		case err != nil:
--- a/internal/wire/mqtt/mqtt_test.go
+++ b/internal/wire/mqtt/mqtt_test.go
@@ -421,6 +421,7 @@
 type ends func(decide.Outcome)
 
 func (e ends) Ended(_ core.Ref, how decide.Outcome, _ decide.Note, _ []byte) { e(how) }
+func (e ends) Wrote(int)                                                     {}
 func (e ends) Loaded(_ core.Ref, how decide.Outcome, _ int)                  { e(how) }
 
 // locked lets the stand-in broker be used by the several I/O goroutines of real sockets.
--- a/internal/wire/sock/sock.go
+++ b/internal/wire/sock/sock.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -18,6 +19,9 @@
 type Conn interface {
 	Write([]byte) (int, error)
 	Close() error
+	// Unsent is how much of what was written the kernel has not taken yet. A close would lose it. Where it is not
+	// 0, a Handler that is a Flusher is told once when it has become so.
+	Unsent() int
 }
 
 // Handler takes what a connection reads. An error from Data closes the connection. Closed is called once.
@@ -26,6 +30,9 @@
 	Closed(err error)
 }
 
+// Flusher is a Handler that wants to know when a slow peer has made room for all that was written.
+type Flusher interface{ Flushed() }
+
 // Dialer opens connections whose bytes go to h; see Net.Dial.
 type Dialer interface {
 	Dial(addr string, timeout time.Duration, h Handler, done func(Conn, error))
@@ -61,9 +68,14 @@
 			return
 		}
 		s := new(session)
-		s.set(accept(c))
+		s.set(accept(&conn{c, s}))
 		c.SetSession(s)
 	})
+	n.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
+		if s, ok := c.Session().(*session); ok {
+			s.took(n)
+		}
+	})
 	n.engine.OnData(func(c *nbio.Conn, b []byte) {
 		if s, ok := c.Session().(*session); ok {
 			if err := s.get().Data(b); err != nil {
@@ -118,15 +130,52 @@
 			done(nil, err)
 			return
 		}
-		done(c, nil) // not before: a write needs the engine
+		done(&conn{c, s}, nil) // not before: a write needs the engine
 	}()
 }
 
 // session holds a connection's handler. The goroutine that accepts or dials hands it to the poller's through the
 // kernel, which the race detector does not see; the lock lets it.
 type session struct {
-	mu sync.Mutex
-	h  Handler
+	mu     sync.Mutex
+	h      Handler
+	unsent atomic.Int64
+	asked  atomic.Bool // somebody waits for unsent to become 0
+}
+
+// took counts down what the kernel has taken. It runs under nbio's lock on the connection.
+func (s *session) took(n int) {
+	if s.unsent.Add(int64(-n)) == 0 && s.asked.Swap(false) {
+		if f, ok := s.get().(Flusher); ok {
+			f.Flushed()
+		}
+	}
+}
+
+// conn is an nbio connection that counts what it holds for a slow peer.
+type conn struct {
+	*nbio.Conn
+	s *session
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	c.s.unsent.Add(int64(len(b)))
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.s.unsent.Store(0) // the connection has ended, and with it what it held
+	}
+	return n, err
+}
+
+func (c *conn) Unsent() int {
+	if c.s.unsent.Load() <= 0 {
+		return 0
+	}
+	c.s.asked.Store(true)
+	if n := c.s.unsent.Load(); n > 0 || !c.s.asked.Swap(false) {
+		return max(1, int(n)) // the Flusher will be told
+	}
+	return 0
 }
 
 func (s *session) set(h Handler) {
--- a/internal/wire/wiretest/wiretest.go
+++ b/internal/wire/wiretest/wiretest.go
@@ -106,6 +106,18 @@
 	peer   *Conn
 	closed bool
 	Stuck  bool // swallows what is written to it, as a machine that has vanished does
+	Slow   int  // what the other end has not made room for yet; see Flush
+}
+
+// Unsent is what Slow says.
+func (c *Conn) Unsent() int { return c.Slow }
+
+// Flush has the other end make room for everything.
+func (c *Conn) Flush() {
+	c.Slow = 0
+	if f, ok := c.h.(sock.Flusher); ok && !c.closed {
+		c.w.steps = append(c.w.steps, f.Flushed)
+	}
 }
 
 func (c *Conn) Write(b []byte) (int, error) {
--- a/internal/wire/workerlink/link.go
+++ b/internal/wire/workerlink/link.go
@@ -63,6 +63,7 @@
 	timer  *core.Deadline // connect, later idle
 	out    []byte
 	calls  []span              // the calls in out, while it waits for the connection
+	tries  int                 // the number of calls in out
 	open   map[string]core.Ref // attempts by the id spoken on the wire
 	orders map[string]core.Ref
 	stall  *core.Deadline             // of an answer that has begun
@@ -213,6 +214,7 @@
 	c.out = strconv.AppendInt(append(c.out, ' '), int64(len(a.Call.Body)), 10)
 	c.out = append(append(append(c.out, "\r\n"...), a.Call.Body...), "\r\n"...)
 	c.open[id], c.sent[a.Ref] = a.Ref, p.loop.Now()
+	c.tries++
 	if !c.ready {
 		c.calls = append(c.calls, span{a.Ref, start, len(c.out)})
 	}
@@ -321,7 +323,10 @@
 	}
 	if err != nil {
 		c.fail(decide.Reset, err)
+		return
 	}
+	c.p.ends.Wrote(c.tries)
+	c.tries = 0
 }
 
 // fail ends the connection and all that is open on it: what was never written has not run.
@@ -426,6 +431,7 @@
 	s := c.calls[i]
 	c.out = slices.Delete(c.out, s.start, s.end)
 	c.calls = slices.Delete(c.calls, i, i+1)
+	c.tries--
 	for j := range c.calls[i:] {
 		c.calls[i+j].start -= s.end - s.start
 		c.calls[i+j].end -= s.end - s.start
--- a/internal/wire/workerlink/workerlink_test.go
+++ b/internal/wire/workerlink/workerlink_test.go
@@ -21,11 +21,13 @@
 	ends  map[core.Ref][]decide.Outcome
 	loads []string
 	next  core.Ref
+	wrote int // attempts written whole
 }
 
 func (r *rig) Ended(ref core.Ref, how decide.Outcome, _ decide.Note, _ []byte) {
 	r.ends[ref] = append(r.ends[ref], how)
 }
+func (r *rig) Wrote(n int) { r.wrote += n }
 func (r *rig) Loaded(_ core.Ref, how decide.Outcome, copies int) {
 	r.loads = append(r.loads, fmt.Sprint(how, copies))
 }
