--- /dev/null
+++ b/decide/memory.go
@@ -0,0 +1,191 @@
+package decide
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Memory is what a router has learnt, to be handed on to the next process of its gateway. It holds nothing of open
+// requests: these stay with the process that took them. Times are of the gateway's clock, which both share.
+type Memory struct {
+	Classes  []ClassMemory    `json:"classes"`
+	Turn     []float64        `json:"turn"`
+	Tokens   []float64        `json:"tokens"`
+	Refilled []time.Duration  `json:"refilled"`
+	Arrivals []time.Duration  `json:"arrivals"`
+	Orders   []time.Duration  `json:"orders"`
+	Seconds  float64          `json:"seconds"`
+	GoodRate float64          `json:"good_rate"`
+	GoodAt   time.Duration    `json:"good_at"`
+	Late     float64          `json:"late"`
+	Calls    float64          `json:"calls"`
+	CalledAt time.Duration    `json:"called_at"`
+	Doubt    float64          `json:"doubt"`
+	Spread   float64          `json:"spread"`
+	Workers  []WorkerMemory   `json:"workers"`
+	Funcs    []FunctionMemory `json:"functions"`
+}
+
+// ClassMemory is what is known of a class's warm calls, in ms.
+type ClassMemory struct{ Mean, Dev, Work float64 }
+
+// WorkerMemory is what is known of a worker.
+type WorkerMemory struct {
+	Name      string
+	Since     time.Duration
+	Deficit   []float64
+	Window    float64
+	Lost      float64
+	LostAt    time.Duration
+	Part      float64
+	ShrunkAt  time.Duration
+	FailedAt  time.Duration
+	FullUntil time.Duration
+	Aside     []time.Duration // by class
+	Length    []time.Duration
+	Cold      []time.Duration
+}
+
+// FunctionMemory is what is known of a function, and where its copies are believed to stand.
+type FunctionMemory struct {
+	Name   string
+	Lanes  int
+	UsedAt time.Duration
+	Calls  float64
+	Served bool
+	Places []PlaceMemory
+}
+
+// PlaceMemory is a worker that is believed to hold a function.
+type PlaceMemory struct {
+	Worker   string
+	LastSend time.Duration
+	Proven   time.Duration
+	Loaded   bool
+	Ordered  time.Duration
+}
+
+// Remember returns what the router has learnt.
+func (r *Router) Remember() *Memory {
+	m := &Memory{Turn: slices.Clone(r.turn), Tokens: slices.Clone(r.tokens), Refilled: slices.Clone(r.refilled),
+		Arrivals: slices.Clone(r.arrivals), Orders: slices.Clone(r.orders), Seconds: r.seconds, GoodRate: r.goodRate,
+		GoodAt: r.goodAt, Late: r.late, Calls: r.calls, CalledAt: r.calledAt, Doubt: r.doubt, Spread: r.spread}
+	for _, c := range r.classes {
+		m.Classes = append(m.Classes, ClassMemory{c.mean, c.dev, c.work})
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.workers)) {
+		w := r.workers[name]
+		if w.host.State == Gone {
+			continue
+		}
+		o := WorkerMemory{Name: name, Since: w.host.Since, Deficit: slices.Clone(w.deficit), Window: w.window, Lost: w.lost,
+			LostAt: w.lostAt, Part: w.part, ShrunkAt: w.shrunkAt, FailedAt: w.failedAt, FullUntil: w.fullUntil,
+			Cold: slices.Clone(w.cold)}
+		for _, h := range w.health {
+			o.Aside, o.Length = append(o.Aside, h.aside), append(o.Length, h.length)
+		}
+		m.Workers = append(m.Workers, o)
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.funcs)) {
+		f := r.funcs[name]
+		o := FunctionMemory{Name: name, Lanes: f.lanes, UsedAt: f.usedAt, Calls: f.calls, Served: f.served}
+		for _, p := range f.places {
+			if p.w.host.State != Gone {
+				o.Places = append(o.Places, PlaceMemory{p.w.host.Name, p.lastSend, p.proven, p.loaded, p.ordered})
+			}
+		}
+		m.Funcs = append(m.Funcs, o)
+	}
+	return m
+}
+
+// Recall has a new router begin with what another has learnt, before its first event. The workers count as gone until
+// the list names them; one that was started anew since is forgotten then. A memory that does not fit the settings, or
+// that none can have, is refused and changes nothing.
+func (r *Router) Recall(m *Memory, now time.Duration) error {
+	if err := r.fits(m, now); err != nil {
+		return err
+	}
+	r.now = now
+	r.turn, r.tokens, r.refilled = slices.Clone(m.Turn), slices.Clone(m.Tokens), slices.Clone(m.Refilled)
+	r.arrivals, r.orders = slices.Clone(m.Arrivals), slices.Clone(m.Orders)
+	r.seconds, r.goodRate, r.goodAt, r.late = m.Seconds, m.GoodRate, m.GoodAt, m.Late
+	r.calls, r.calledAt, r.doubt, r.spread = m.Calls, m.CalledAt, m.Doubt, m.Spread
+	for i, c := range m.Classes {
+		r.classes[i] = classStat{c.Mean, c.Dev, c.Work}
+	}
+	for _, o := range m.Workers {
+		w := &worker{host: Host{Name: o.Name, State: Gone, Since: o.Since}, hash: hashOf(o.Name), deficit: slices.Clone(o.Deficit),
+			window: o.Window, lost: o.Lost, lostAt: o.LostAt, part: o.Part, shrunkAt: o.ShrunkAt, failedAt: o.FailedAt,
+			fullUntil: o.FullUntil, cold: slices.Clone(o.Cold), health: make([]health, len(r.classes))}
+		for k := range w.health {
+			w.health[k] = health{aside: o.Aside[k], length: o.Length[k]}
+		}
+		r.workers[o.Name] = w
+	}
+	for _, o := range m.Funcs {
+		f := &function{name: o.Name, hash: hashOf(o.Name), ranked: -1, lanes: o.Lanes, usedAt: o.UsedAt, calls: o.Calls,
+			served: o.Served}
+		for _, p := range o.Places {
+			if w := r.workers[p.Worker]; w != nil {
+				f.places = append(f.places, &place{w: w, lastSend: p.LastSend, proven: p.Proven, loaded: p.Loaded, ordered: p.Ordered})
+			}
+		}
+		r.funcs[o.Name] = f
+	}
+	return nil
+}
+
+const (
+	memoryWorkers   = 4096 // bounds of a memory
+	memoryFunctions = 65536
+	memoryTimes     = 1 << 17
+)
+
+// fits reports what is wrong with a memory.
+func (r *Router) fits(m *Memory, now time.Duration) error {
+	if len(m.Classes) != len(r.classes) || len(m.Turn) != len(r.turn) || len(m.Tokens) != len(r.turn) || len(m.Refilled) != len(r.turn) {
+		return fmt.Errorf("decide: memory of %d classes and %d tenants", len(m.Classes), len(m.Turn))
+	}
+	if len(m.Workers) > memoryWorkers || len(m.Funcs) > memoryFunctions || len(m.Arrivals)+len(m.Orders) > memoryTimes {
+		return fmt.Errorf("decide: memory of %d workers, %d functions", len(m.Workers), len(m.Funcs))
+	}
+	past := slices.Concat(m.Refilled, m.Arrivals, m.Orders, []time.Duration{m.GoodAt, m.CalledAt})
+	figures := []float64{m.Seconds, m.GoodRate, m.Late, m.Calls, m.Doubt, m.Spread}
+	for _, c := range m.Classes {
+		figures = append(figures, c.Mean, c.Dev, c.Work)
+	}
+	for _, w := range m.Workers {
+		if w.Name == "" || len(w.Deficit) != len(r.turn) || len(w.Aside) != len(r.classes) || len(w.Length) != len(r.classes) ||
+			len(w.Cold) > memoryTimes || w.Window < windowMin || w.Window > windowMost {
+			return fmt.Errorf("decide: memory of worker %q", w.Name)
+		}
+		past = append(past, slices.Concat(w.Cold, []time.Duration{w.LostAt, w.ShrunkAt, w.FailedAt})...)
+		figures = append(figures, w.Lost, w.Part)
+		if slices.Max(append(w.Aside, w.FullUntil)) > now+time.Hour || slices.Min(append(w.Length, 0)) < 0 {
+			return fmt.Errorf("decide: memory of worker %q", w.Name)
+		}
+	}
+	for _, f := range m.Funcs {
+		if f.Name == "" || f.Lanes < 1 || len(f.Places) > len(m.Workers) {
+			return fmt.Errorf("decide: memory of function %q", f.Name)
+		}
+		figures, past = append(figures, f.Calls), append(past, f.UsedAt)
+		for _, p := range f.Places {
+			past = append(past, p.LastSend, p.Proven)
+			if p.Ordered > now+time.Hour || -p.Ordered > now+time.Hour {
+				return fmt.Errorf("decide: memory of function %q", f.Name)
+			}
+		}
+	}
+	if slices.ContainsFunc(past, func(t time.Duration) bool { return t < 0 || t > now+time.Second }) {
+		return fmt.Errorf("decide: memory of what is still to come")
+	}
+	if slices.ContainsFunc(figures, func(x float64) bool { return !(x >= 0) || math.IsInf(x, 0) }) {
+		return fmt.Errorf("decide: memory with an impossible figure")
+	}
+	return nil
+}
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -1,6 +1,9 @@
 package core
 
-import "quillrail/internal/roster"
+import (
+	"quillrail/decide"
+	"quillrail/internal/roster"
+)
 
 // Counts are the requests of one class that have ended, by their answer. A request whose client had gone is in none.
 type Counts struct{ OK, Shed, Errors uint64 }
@@ -67,6 +70,12 @@
 // Restore takes what a former process has handed on, before the first list.
 func (c *Core) Restore(s roster.Saved) { c.roster.Restore(s) }
 
+// Remember returns what the module has learnt.
+func (c *Core) Remember() *decide.Memory { return c.router.Remember() }
+
+// Recall has the module begin with what a former process's has learnt, before the first list.
+func (c *Core) Recall(m *decide.Memory) error { return c.router.Recall(m, c.loop.Now()) }
+
 // Adopt lays a ban that was laid at the gateway's other process.
 func (c *Core) Adopt(b roster.Ban) {
 	if ev := c.roster.Adopt(b); len(ev.Hosts) > 0 {
--- a/internal/lifecycle/handover/link.go
+++ b/internal/lifecycle/handover/link.go
@@ -340,8 +340,11 @@
 	}
 	state.Version, state.Who = version, d.who
 	b, err := frame(message{Kind: "state", State: &state})
-	if err != nil {
-		return err
+	if err != nil { // the bans must not be lost with what merely helps
+		state.Module = nil
+		if b, err = frame(message{Kind: "state", State: &state}); err != nil {
+			return err
+		}
 	}
 	raw, err := ln.(syscall.Conn).SyscallConn()
 	if err != nil {
--- a/internal/lifecycle/handover/state.go
+++ b/internal/lifecycle/handover/state.go
@@ -11,12 +11,13 @@
 	"os"
 	"path/filepath"
 
+	"quillrail/decide"
 	"quillrail/internal/roster"
 )
 
 const (
 	version  = 1
-	maxState = 1 << 20 // bytes, in the file and on the link
+	maxState = 4 << 20 // bytes, in the file and on the link
 )
 
 // Who says whose state it is: one that another gateway has left is of no use.
@@ -29,7 +30,8 @@
 type State struct {
 	Version int `json:"version"`
 	Who
-	Roster roster.Saved `json:"roster"`
+	Roster roster.Saved   `json:"roster"`
+	Module *decide.Memory `json:"module,omitempty"` // only over the link: in a file it would be old
 }
 
 // ErrNone says that nothing was handed on.
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -141,6 +141,11 @@
 		return err
 	}
 	g.core.Restore(state.Roster)
+	if state.Module != nil {
+		if err := g.core.Recall(state.Module); err != nil {
+			log.Warn("what the module had learnt is not taken over", zap.Error(err))
+		}
+	}
 	g.pool.Serve(g.core)
 	if g.link != nil {
 		g.link.Serve(g.core)
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -138,7 +138,7 @@
 			got <- offer{err: errors.New("a new process has taken over already")}
 		default:
 			u.offered = u.g.core.Saved()
-			got <- offer{state: handover.State{Roster: u.offered}}
+			got <- offer{state: handover.State{Roster: u.offered, Module: u.g.core.Remember()}}
 		}
 	})
 	select {
