Add quillrail plan, an exact solver for placements of models with a bound and verdicts

Need: deciding which models sit on which workers is a puzzle of memory, halls and load cost; operators want it solved ahead of time, in bounded time, with a plain verdict where nothing fits.

Change: internal/plan (branch and bound over copies, shares by min-cost flow in integers, bounds from flows and from models alone, minimal conflicts, a checker written apart), quillrail plan check, solve, explain and diff, a page and an example. The gateway does not read plans yet.

--- a/cmd/quillrail/main.go
+++ b/cmd/quillrail/main.go
@@ -30,6 +30,7 @@
 		Name:  "quillrail",
 		Usage: "a gateway for functions loaded on demand",
 		Commands: []*cli.Command{
+			planCommand(),
 			{
 				Name:   "serve",
 				Usage:  "serve calls as the configuration in $NODE_CONFIG says, until SIGTERM",
