--- a/cmd/quillrail/plan.go
+++ b/cmd/quillrail/plan.go
@@ -40,7 +40,7 @@
 		o := plan.Options{Steps: c.Int64("steps")}
 		if o.Steps == 0 {
 			o.Clock, o.Limit = func() time.Duration { return time.Duration(time.Now().UnixNano()) }, c.Duration("limit")
-			o.Steps = 1 << 60
+			o.Steps = int64(c.Duration("limit").Seconds() * 300_000_000)
 		}
 		r := plan.Solve(p, o)
 		return r, plan.Verify(p, r)
--- a/internal/plan/solve.go
+++ b/internal/plan/solve.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -25,7 +26,9 @@
 	defaultSteps = 300_000_000 // about a second
 	clockEvery   = 100_000     // steps between two looks at the clock
 	flowLimit    = 40_000      // demands times workers up to which shares are found by flows
-	aloneShare   = 4           // the bounds of single models take this part of the steps
+	aloneShare   = 2           // the bounds of single models take this part of the steps,
+	greedShare   = 8           // and the greedy placements this;
+	greedTries   = 40          // so many at most
 	leastShare   = 8           // a conflict's search may take this part of the steps each time
 )
 
@@ -150,17 +153,10 @@
 	}
 	s.small = demands*len(s.Workers) <= flowLimit
 	s.x, s.best, s.used, s.count = grid[bool](s.instance), grid[bool](s.instance), make([]int64, len(s.Workers)), make([]int, len(s.Models))
-	for m := range start {
-		for w, on := range start[m] {
-			if on {
-				s.set(m, w, true)
-			}
-		}
-	}
-	s.greed()
+	s.improve(start)
 	s.bound = s.knapsack()
 	if len(s.Models) > 1 {
-		s.alone()
+		s.apart, s.idles = s.alone(s.meter.most / aloneShare)
 		sum := int64(0)
 		for _, v := range s.apart {
 			sum += v
@@ -198,7 +194,8 @@
 		}
 	}
 	slices.SortStableFunc(s.free, func(a, b pair) int {
-		return cmp.Or(cmp.Compare(worth[b.m], worth[a.m]), cmp.Compare(a.m, b.m), cmp.Compare(s.holds[a.m][a.w], s.holds[b.m][b.w]))
+		return cmp.Or(cmp.Compare(worth[b.m], worth[a.m]), cmp.Compare(a.m, b.m), cmp.Compare(s.holds[a.m][a.w], s.holds[b.m][b.w]),
+			cmp.Compare(s.takes(b), s.takes(a)))
 	})
 	for i, p := range s.free {
 		s.place[p.m][p.w] = i
@@ -366,7 +363,7 @@
 	for _, on := range []bool{first, !first} {
 		s.set(p.m, p.w, on)
 		s.at = at + 1
-		if on && s.within(p.m, p.w) || !on && s.enough(p.m) {
+		if on && s.within(p.m, p.w) && !s.outdone(at) || !on && s.enough(p.m) {
 			if !s.branch(at + 1) {
 				return false
 			}
@@ -376,6 +373,25 @@
 	return true
 }
 
+// takes is how much work a copy can take.
+func (s *search) takes(p pair) int64 { return min(s.Models[p.m].Lanes*s.lane[p.w], s.cpu[p.w]) }
+
+// outdone reports, for a model alone, whether a worker of the same hall that takes as much and costs no more was left
+// out: a placement with that one instead is as good, and is found without this one.
+func (s *search) outdone(at int) bool {
+	if len(s.Models) > 1 {
+		return false
+	}
+	p := s.free[at]
+	for _, o := range s.free[:at] {
+		if !s.x[o.m][o.w] && s.halls[o.w] == s.halls[p.w] && s.holds[o.m][o.w] <= s.holds[p.m][p.w] && s.takes(o) >= s.takes(p) &&
+			(s.present[o.m][o.w] || !s.present[p.m][p.w]) {
+			return true
+		}
+	}
+	return false
+}
+
 // knapsack is a bound that is quick at any size: the work with most worth that all cores together take, each demand in
 // its own hall, less what stands for nothing.
 func (s *search) knapsack() int64 {
@@ -409,14 +425,61 @@
 	return sum
 }
 
-// greed takes the models in the order of their worth and gives each the copy that adds most, as long as one adds
-// anything. Copies that are there already serve first.
-func (s *search) greed() {
-	cpu, order := slices.Clone(s.cpu), make([]int, len(s.Models))
-	s.score, s.shares = 0, nil
-	for m := range order {
+// improve tries greedy placements under many orders of the models, always the same ones, and keeps the best.
+func (s *search) improve(start [][]bool) {
+	rng := rand.New(rand.NewPCG(1, uint64(len(s.Models))))
+	density := make([]float64, len(s.Models)) // worth for each MB
+	order := make([]int, len(s.Models))
+	for m, o := range s.Models {
 		order[m] = m
+		for _, d := range o.Calls {
+			density[m] += float64(d.Mcores*d.Worth) / float64(max(1, o.MemoryMB))
+		}
+	}
+	end, best := s.steps+s.meter.most/greedShare, int64(-1<<62)
+	var shares []share
+	for n := 0; n < greedTries && (n == 0 || s.steps < end && !s.over); n++ {
+		noise := make([]float64, len(order))
+		for m := range noise {
+			noise[m] = density[m]
+			if n > 1 {
+				noise[m] *= 0.3 + rng.Float64()
+			}
+		}
+		slices.SortFunc(order, func(a, b int) int { return cmp.Or(cmp.Compare(noise[b], noise[a]), cmp.Compare(a, b)) })
+		for m := range s.x {
+			for w := range s.x[m] {
+				s.set(m, w, start[m][w])
+			}
+		}
+		if s.greed(order, n%2 == 1); s.score > best {
+			best, shares = s.score, s.shares
+			s.keep()
+		}
+	}
+	s.score, s.shares = best, shares
+	for m := range s.x {
+		for w := range s.x[m] {
+			s.set(m, w, s.best[m][w])
+		}
+	}
+}
+
+// greed takes the models in an order and gives each the copy that adds most, as long as one adds anything; byWorth, it
+// does so for the calls of most worth of all models first. Copies that are there already serve first.
+func (s *search) greed(order []int, byWorth bool) {
+	cpu, lane, left := slices.Clone(s.cpu), grid[int64](s.instance), make([][]int64, len(s.Models))
+	s.score, s.shares = 0, nil
+	levels := []int64{-1}
+	for m, o := range s.Models {
+		for _, c := range o.Calls {
+			left[m] = append(left[m], c.Mcores)
+			if byWorth {
+				levels = append(levels, c.Worth)
+			}
+		}
 		for w := range s.Workers {
+			lane[m][w] = o.Lanes * s.lane[w]
 			if s.present[m][w] && !s.x[m][w] && s.may[m][w] && s.holds[m][w] < 0 { // cheaper to keep than to unload
 				if s.set(m, w, true); !s.within(m, w) {
 					s.set(m, w, false)
@@ -424,79 +487,86 @@
 			}
 		}
 	}
-	density := func(m int) int64 { // worth for each MB
-		sum := int64(0)
-		for _, d := range s.Models[m].Calls {
-			sum += d.Mcores * d.Worth
-		}
-		return sum / max(1, s.Models[m].MemoryMB)
-	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(density(b), density(a)) })
-	for _, m := range order {
-		left := make([]int64, len(s.Models[m].Calls))
-		for d, c := range s.Models[m].Calls {
-			left[d] = c.Mcores
-		}
-		byWorth := make([]int, len(left))
-		for d := range byWorth {
-			byWorth[d] = d
-		}
-		serve := func(w int, take func(d int, n int64)) (gain int64) {
-			room := min(cpu[w], s.Models[m].Lanes*s.lane[w])
-			slices.SortStableFunc(byWorth, func(a, b int) int { return cmp.Compare(s.gain(m, b, w), s.gain(m, a, w)) })
-			for _, d := range byWorth {
-				if g := s.gain(m, d, w); g > 0 && s.step(1) {
-					n := min(room, left[d])
-					room -= n
-					gain += n * g
-					take(d, n)
-				}
+	slices.Sort(levels)
+	levels = slices.Compact(levels)
+	slices.Reverse(levels)
+	for _, level := range levels {
+		for _, m := range order {
+			if s.over {
+				break
 			}
-			return gain
-		}
-		use := func(w int) {
-			s.score += serve(w, func(d int, n int64) {
-				if n > 0 {
-					left[d] -= n
-					cpu[w] -= n
-					s.shares = append(s.shares, share{m, d, w, n})
-				}
-			})
+			s.fill(m, level, cpu, lane[m], left[m])
 		}
-		for w := range s.Workers {
-			if s.x[m][w] {
-				use(w)
+	}
+	s.score -= s.costs()
+}
+
+// fill serves the calls of a model that are worth at least level.
+func (s *search) fill(m int, level int64, cpu, lane, left []int64) {
+	byGain := make([]int, 0, len(left))
+	for d, c := range s.Models[m].Calls {
+		if c.Worth >= level && left[d] > 0 {
+			byGain = append(byGain, d)
+		}
+	}
+	if len(byGain) == 0 {
+		return
+	}
+	serve := func(w int, take func(d int, n int64)) (gain int64) {
+		room := min(cpu[w], lane[w])
+		slices.SortStableFunc(byGain, func(a, b int) int { return cmp.Compare(s.gain(m, b, w), s.gain(m, a, w)) })
+		for _, d := range byGain {
+			if g := s.gain(m, d, w); g > 0 {
+				n := min(room, left[d])
+				room -= n
+				gain += n * g
+				take(d, n)
 			}
 		}
-		for !s.over {
-			best, most := -1, int64(0)
-			for w := range s.Workers {
-				if s.x[m][w] || !s.may[m][w] {
-					continue
-				}
-				if gain := serve(w, func(int, int64) {}) - s.holds[m][w]; gain > most {
-					s.set(m, w, true)
-					fits := s.within(m, w)
-					if s.set(m, w, false); fits {
-						best, most = w, gain
-					}
-				}
+		s.step(int64(10 + 10*len(byGain)))
+		return gain
+	}
+	use := func(w int) {
+		s.score += serve(w, func(d int, n int64) {
+			if n > 0 {
+				left[d] -= n
+				cpu[w] -= n
+				lane[w] -= n
+				s.shares = append(s.shares, share{m, d, w, n})
 			}
-			if best < 0 {
-				break
+		})
+	}
+	for w := range s.Workers {
+		if s.x[m][w] {
+			use(w)
+		}
+	}
+	for !s.over {
+		best, most := -1, int64(0)
+		for w := range s.Workers {
+			if s.x[m][w] || !s.may[m][w] || min(cpu[w], lane[w]) == 0 {
+				continue
+			}
+			if gain := serve(w, func(int, int64) {}) - s.holds[m][w]; gain > most {
+				s.set(m, w, true)
+				fits := s.within(m, w)
+				if s.set(m, w, false); fits {
+					best, most = w, gain
+				}
 			}
-			s.set(m, best, true)
-			use(best)
 		}
+		if best < 0 {
+			return
+		}
+		s.set(m, best, true)
+		use(best)
 	}
-	s.score -= s.costs()
-	s.keep()
 }
 
-// alone is a bound on each model's part: what it is worth with all workers to itself. The cores and the memory that
-// models share can only make the sum less.
-func (s *search) alone() {
-	s.apart, s.idles = make([]int64, len(s.Models)), make([]int64, len(s.Models))
+// alone returns a bound on each model's part, and its idle: what it is worth with all workers to itself. What models
+// share can only make the sum less.
+func (s *search) alone(steps int64) (apart, idles []int64) {
+	apart, idles = make([]int64, len(s.Models)), make([]int64, len(s.Models))
 	for m := range s.Models {
 		q := *s.Problem
 		q.Models, q.Present = q.Models[m:m+1], nil
@@ -506,24 +576,29 @@
 			}
 		}
 		in := number(&q)
-		t := &meter{most: s.meter.most / int64(aloneShare*len(s.Models)), clock: s.clock, end: s.end}
-		s.idles[m], s.apart[m] = in.idle, 1<<50
+		t := &meter{most: steps / int64(len(s.Models)), clock: s.clock, end: s.end}
+		idles[m], apart[m] = in.idle, unbounded
 		if s.over {
 			continue
 		}
 		if start, a := in.feasible(nil, t, t.most); a == yes {
 			o := &search{instance: in, meter: t}
 			o.begin(start)
-			if s.apart[m] = o.bound; o.score >= o.bound || o.small && o.branch(0) {
-				s.apart[m] = o.score
+			if o.score >= o.bound || o.small && o.branch(0) {
+				apart[m] = o.score
+			} else {
+				apart[m] = o.bound
 			}
-			s.apart[m] = min(s.apart[m], o.bound)
 		}
 		s.step(t.steps)
 		s.over = s.over || t.over && t.steps < t.most // by the clock
 	}
+	return apart, idles
 }
 
+// unbounded stands for a bound that was not found in time. The sum over all models still fits.
+const unbounded = 1 << 50
+
 // plan words the placement in x.
 func (s *search) plan() *Plan {
 	shares := s.shares
