Send MQTT callers away while a gateway hands over to its successor

Cause, from reading the code: at SIGTERM with a successor the old process kept its broker session and went on taking calls, so with steady traffic core.Open() never fell to 0 and it ended only at the last moment, failing what was open then (lifecycle/serve.go, leave); the successor joins the broker only after that. Now it refuses new calls over MQTT with a time to come back, and waits for outcomes that the broker has not acknowledged. Not on the platform, where MQTT is off.

--- a/internal/lifecycle/operator_test.go
+++ b/internal/lifecycle/operator_test.go
@@ -104,3 +104,32 @@
 		}
 	}
 }
+
+// At SIGTERM with a successor that is ready, new connections are its own: this process closes its copy of the socket at
+// once, tells the callers of a broker to come back, and still says yes to clients whose connections it holds, since the
+// gateway as a whole takes them.
+func TestLeavingToASuccessor(t *testing.T) {
+	c, err := ParseConfig([]byte(strings.NewReplacer("%BULLETIN%", "127.0.0.1:1", "%WORKER%", "127.0.0.1:1").Replace(text)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Side, err = ParseSide(mqttOn); err != nil {
+		t.Fatal(err)
+	}
+	g, err := Start(c, core.WallClock, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer g.net.Stop()
+	g.loop.Turn()
+	g.done = func() {}
+	g.up = &upgrade{g: g, toReady: true}
+	g.drain()
+	if g.calls.Ready() || !g.front.Ready() {
+		t.Errorf("takes calls over MQTT %v, says yes over HTTP %v", g.calls.Ready(), g.front.Ready())
+	}
+	if conn, err := net.Dial("tcp", g.net.Addr()); err == nil { // nobody else has a copy of the socket here
+		conn.Close()
+		t.Error("still accepts connections")
+	}
+}
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -225,6 +225,9 @@
 	if handed { // what waits to be accepted and all that comes is the new process's
 		g.net.StopAccepting()
 		g.front.Leave()
+		if g.calls != nil { // the new process joins the broker once this one has left
+			g.calls.Drain()
+		}
 		g.loop.After(lastFlush, g.leave)
 	} else {
 		g.loop.After(keepAccept, g.finish)
@@ -241,7 +244,7 @@
 
 // leave ends the process once its last client has gone.
 func (g *Gateway) leave() {
-	if g.core.Open() > 0 || g.front.Conns() > 0 {
+	if g.core.Open() > 0 || g.front.Conns() > 0 || g.calls != nil && g.calls.Up() && g.calls.Waiting() > 0 {
 		g.loop.After(10*time.Millisecond, g.leave)
 		return
 	}
--- a/internal/wire/mqtt/front.go
+++ b/internal/wire/mqtt/front.go
@@ -62,6 +62,9 @@
 func (f *Front) Drain()  { f.away = true }
 func (f *Front) Resume() { f.away = false }
 
+// Ready reports whether callers are taken.
+func (f *Front) Ready() bool { return !f.away }
+
 // NewFront returns a front that takes calls of the broker in opt. keep is for how long answers are remembered.
 // observe is told of outcomes that the core is not asked for.
 func NewFront(loop *core.Loop, net sock.Dialer, taker Taker, site *settings.Site, opt Options, keep time.Duration,
