Measure lateness and work in flight against what a class's calls take undisturbed

Cause: the thresholds that say when workers press, windows close and cheap calls yield (jamPart, aimPart, yieldPart in decide.go) are parts of a class's aim, and owedUnit was 40 ms. Both were found where work is 0.11 to 0.20 of the aim and 84 ms on average.

Change: latency counts in parts of the aim, or of the class's mean hinted work over quietPart (0.15, the middle of the first deployment's range) where that is longer. owedUnit is half of a mean call (84 ms / 2 is the old 40). Both are learnt from the hints, and handed on with the rest of the memory.

Test: TestUndisturbedCallsDoNotPress.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,8 +23,6 @@
 	queueDepth   = 2                      // calls a warm copy may have waiting, in multiples of its lanes
 	loadBound    = 1.5                    // a new load skips workers this far above the mean in flight
 	crowdPause   = 200 * time.Millisecond // a full worker is left alone so long; pace of closing windows
-	windowMin    = 2                      // least in-flight window of a worker
-	windowMost   = 32                     // and the largest, which is the first too
 	yieldPart    = 0.24                   // while answers take more than this part of the aim,
 	yieldRoom    = 0.2                    // calls of less worth may fill this part of the window
 	aimPart      = 0.4                    // warm latency above this part of the aim closes the window
@@ -37,14 +35,13 @@
 	hopeDevs     = 3                      // a held call is given up if one of mean + so many deviations,
 	hopeMost     = 0.85                   // or of this part of the aim, would be late
 	hintTrust    = 0.7                    // weight of a call's rough hint against the mean of its class
-	owedUnit     = 40                     // ms of hinted work in flight that count as one call
+	owedUnit     = 0.5                    // hinted work in flight that counts as one call, in mean calls
+	quietPart    = 0.15                   // part of the aim that the work of a class may well take
 	latePart     = 0.7                    // and our own answers of late, FULL ones as 1
-	secondPart   = 0.2                    // second copies, as a part of the calls taken
 	secondDevs   = 2                      // due after mean + so many deviations where calls were lost of late
 	lostOver     = 10 * time.Second       // that is, over this
 	lostEnough   = 1                      // so many, reckoned with their fading
 	secondPassed = 3                      // so many later calls answered by a copy say that one was lost
-	secondBurst  = 10                     // and so many may be saved up
 	patienceDevs = 5                      // a call is overdue after mean + so many deviations
 	asideFirst   = 500 * time.Millisecond // a failing worker is set aside so long at first, then doubling
 	outMost      = 0.5                    // at most this part of the fleet is judged unfit; else nobody
@@ -59,9 +56,11 @@
 	fadePart     = 0.6                    // part of the keep-alive over which a gateway counts its own calls
 	spreadUp     = 1.01                   // homes grow so with each call that found its copy
 	spreadDown   = 0.8                    // and shrink so with each that did not: 1 in 20 may fail
-	spreadLeast  = 0.1
-	spreadMost   = 2.0
-	lately       = 4 * time.Second // over which rates are counted
+	lately       = 4 * time.Second        // over which rates are counted
+
+	windowMin, windowMost   = 2, 32   // bounds of the in-flight window of a worker; it begins at the largest
+	secondPart, secondBurst = 0.2, 10 // second copies by calls taken, and saved up
+	spreadLeast, spreadMost = 0.1, 2.0
 )
 
 // Router decides for one gateway. It is not safe for concurrent use.
@@ -85,6 +84,7 @@
 	ranked                   int             // version of ready, for the cached ranks
 	fleet                    float64         // even part of all allowances, calls a second
 	late                     float64         // latency as a part of the aim, of late, all workers
+	work                     float64         // ms of hinted work of a call, running
 	calls                    float64         // own calls of late, fading
 	doubt                    float64         // part of the warm calls of late that became overdue
 	spread                   float64         // how freely functions are given homes, by what the memory bears
@@ -300,6 +300,7 @@
 	work := cmp.Or(max(0, ms(e.Work)), c.work, c.mean)
 	c.work = cmp.Or(c.work, work)
 	c.work += gainFast / 2 * (work - c.work)
+	r.work = cmp.Or(r.work, work) + gainFast/2*(work-cmp.Or(r.work, work))
 	return hintTrust*work + (1-hintTrust)*c.work
 }
 
@@ -422,7 +423,7 @@
 			continue
 		}
 		homes--
-		key := int(w.owed/owedUnit + unseenCalls*min(2, w.part))
+		key := int(w.owed/(owedUnit*max(1, r.work)) + unseenCalls*min(2, w.part))
 		switch {
 		case p == nil || !p.loaded && p.inflight == 0:
 			if w.deficit[q.tenant] > 0 && key < freshKey {
@@ -877,7 +878,7 @@
 			p.proven = max(p.proven, a.at)
 			c.dev += gainFast / 2 * (math.Abs(took-c.mean) - c.dev)
 			c.mean += gainFast / 2 * (took - c.mean)
-			part := took / ms(r.set.Classes[q.class].Aim)
+			part := took / max(ms(r.set.Classes[q.class].Aim), c.work/quietPart)
 			r.late += gainFast / 3 * (min(2, part) - r.late)
 			r.resize(w, part)
 		}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1227,3 +1227,23 @@
 		}
 	}
 }
+
+// A call that takes its usual time presses no fleet, also where that time is a large part of the aim.
+func TestUndisturbedCallsDoNotPress(t *testing.T) {
+	for _, c := range []struct {
+		work, took time.Duration
+		pressed    bool
+	}{{350 * time.Millisecond, 350 * time.Millisecond, false}, {100 * time.Millisecond, 350 * time.Millisecond, true}} {
+		f := start(t, site(), 1)
+		f.warm(0, "fn")
+		for range 40 {
+			f.next++
+			f.do(Arrival{ID: f.next, Function: "fn", TTL: 4 * sec, Lanes: 2, Work: c.work})
+			f.pass(c.took)
+			f.result(f.last(), Good, FoundWarm)
+		}
+		if f.r.pressed() != c.pressed {
+			t.Errorf("work %v, took %v: pressed %v", c.work, c.took, f.r.pressed())
+		}
+	}
+}
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -21,6 +21,7 @@
 	GoodRate float64          `json:"good_rate"`
 	GoodAt   time.Duration    `json:"good_at"`
 	Late     float64          `json:"late"`
+	Work     float64          `json:"work"`
 	Calls    float64          `json:"calls"`
 	CalledAt time.Duration    `json:"called_at"`
 	Doubt    float64          `json:"doubt"`
@@ -72,7 +73,7 @@
 func (r *Router) Remember() *Memory {
 	m := &Memory{Turn: slices.Clone(r.turn), Tokens: slices.Clone(r.tokens), Refilled: slices.Clone(r.refilled),
 		Arrivals: slices.Clone(r.arrivals), Orders: slices.Clone(r.orders), Seconds: r.seconds, GoodRate: r.goodRate,
-		GoodAt: r.goodAt, Late: r.late, Calls: r.calls, CalledAt: r.calledAt, Doubt: r.doubt, Spread: r.spread}
+		GoodAt: r.goodAt, Late: r.late, Work: r.work, Calls: r.calls, CalledAt: r.calledAt, Doubt: r.doubt, Spread: r.spread}
 	for _, c := range r.classes {
 		m.Classes = append(m.Classes, ClassMemory{c.mean, c.dev, c.work})
 	}
@@ -112,7 +113,7 @@
 	r.now = now
 	r.turn, r.tokens, r.refilled = slices.Clone(m.Turn), slices.Clone(m.Tokens), slices.Clone(m.Refilled)
 	r.arrivals, r.orders = slices.Clone(m.Arrivals), slices.Clone(m.Orders)
-	r.seconds, r.goodRate, r.goodAt, r.late = m.Seconds, m.GoodRate, m.GoodAt, m.Late
+	r.seconds, r.goodRate, r.goodAt, r.late, r.work = m.Seconds, m.GoodRate, m.GoodAt, m.Late, m.Work
 	r.calls, r.calledAt, r.doubt, r.spread = m.Calls, m.CalledAt, m.Doubt, m.Spread
 	for i, c := range m.Classes {
 		r.classes[i] = classStat{c.Mean, c.Dev, c.Work}
@@ -154,7 +155,7 @@
 		return fmt.Errorf("decide: memory of %d workers, %d functions", len(m.Workers), len(m.Funcs))
 	}
 	past := slices.Concat(m.Refilled, m.Arrivals, m.Orders, []time.Duration{m.GoodAt, m.CalledAt})
-	figures := []float64{m.Seconds, m.GoodRate, m.Late, m.Calls, m.Doubt, m.Spread}
+	figures := []float64{m.Seconds, m.GoodRate, m.Late, m.Work, m.Calls, m.Doubt, m.Spread}
 	for _, c := range m.Classes {
 		figures = append(figures, c.Mean, c.Dev, c.Work)
 	}
