Load few copies where warm calls are late, and up to four at a worker otherwise

With one of five workers gone, loads waited for their turn at two for a worker, and calls went past the agreed home to a third one.

Change: while answers of warm calls take over yieldPart of what they may, a gateway has loads out for a quarter of the workers at most; else for as many as there are workers, four at one.

Test: TestLateFleetGetsFewLoads.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"fmt"
-	"hash/fnv"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -47,7 +46,8 @@
 	outMost      = 0.5                    // at most this part of the fleet is judged unfit; else nobody
 	coldSafety   = 0.8                    // part of the cold budget that is used
 	coldSlots    = 8                      // parts of FallFor that are budgeted each for itself
-	loadsEach    = 2                      // loads at one worker that this gateway waits for at once
+	fewLoads     = 4                      // where warm calls are late, loads at one worker in so many
+	loadsEach    = 4                      // loads at one worker that this gateway waits for at once
 	gainFast     = 0.1                    // weight of a new sample in a running mean
 	homePart     = 0.5                    // part of a worker's even load that one function should make up
 	lanePart     = 0.5                    // part of a function's lanes that its calls should take up
@@ -508,8 +508,10 @@
 			w.deficit[q.tenant] += quantumW
 		}
 	}
-	// a jammed store gets fewer loads; in a pressed fleet another copy only pushes out what others use
-	if loads >= max(loadsEach, len(r.ready)) || spread && r.pressed() {
+	// A jammed store gets fewer loads, a pressed fleet no second copies. Where warm calls are late, a copy
+	// pushes out what others use, whose load pushes out a third. Held calls are no sign: loads end them.
+	if few := max(2, len(r.ready)/fewLoads); loads >= len(r.ready) || spread && r.pressed() ||
+		r.late > yieldPart && loads >= few {
 		return nil
 	}
 	bound := loadBound*float64(total+1)/float64(max(1, len(r.ready))) + 2
@@ -996,28 +998,3 @@
 		p.lastSend = r.now
 	}
 }
-
-func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
-// since drops the times that are not after t.
-func since(times []time.Duration, t time.Duration) []time.Duration {
-	return slices.DeleteFunc(times, func(x time.Duration) bool { return x <= t })
-}
-
-// fade lets a sum of recent things lose what is old.
-func fade(sum float64, d, over time.Duration) float64 {
-	return sum * math.Exp(-float64(d)/float64(over))
-}
-
-func hashOf(s string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(s))
-	return h.Sum64()
-}
-
-func mix(a, b uint64) uint64 {
-	x := a ^ b*0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -593,6 +593,23 @@
 	}
 }
 
+// larder overload: each load in a full fleet pushed out a copy in use, which then was loaded again elsewhere.
+func TestLateFleetGetsFewLoads(t *testing.T) {
+	for late, most := range map[float64]int{0: 8, yieldPart + 0.01: 8 / fewLoads} {
+		f := start(t, site(), 8)
+		f.r.late = late
+		for i := range 30 {
+			f.call(0, 0, fmt.Sprint("fn", i))
+		}
+		if n := len(f.sent); n != most {
+			t.Errorf("with answers as late as %v, %d loads begun at eight workers, want %d", late, n, most)
+		}
+		if late == 0 && !f.r.pressed() { // the held press, and yet they may load: else they would never end
+			t.Error("22 held calls do not press")
+		}
+	}
+}
+
 // Bursts: one load of a function at a time, calls meanwhile wait behind it.
 func TestOneLoadOfAFunctionAtATime(t *testing.T) {
 	f := start(t, site(), 6)
