Add a rig of real gateways among stand-ins, and read load reports and probes of workers

The command line moved to internal/app so that tests of other packages can stand for the program. Reports are read by name (settings/report.go; what can't be a value counts as not told), probes go by PING or STATS; no decision uses either yet.

Found: nbio forgets an end that comes before its goroutines have begun (poller_epoll.go sets shutdown = false on their first line), so sock.listener asked a closed listener for good and TestLeavingToASuccessor hung for 10 minutes beside a busy test; the acceptor ends by itself now and the test waits for it to have begun. Not of nbio's making, and open: an upgrade in the rig loses requests, see docs/ROADMAP.md.

--- a/decide/api.go
+++ b/decide/api.go
@@ -53,7 +53,7 @@
 	MaxAttempts   int           // attempts for one request
 	Parallel      bool          // two attempts of a request may be out at once
 	Cancelling    bool          // Retract may be used
-	Probing       bool          // Probe may be used; not used, untried
+	Probing       bool          // Probe may be used
 	Peers         bool          // Tell may be used; not used: gateways do not talk to each other
 	MaxRetryAfter time.Duration // not used: pauses asked of refused clients lost worth
 
@@ -147,8 +147,13 @@
 	LoadFailed
 )
 
-// Report is a worker's load report; values not told are negative.
-type Report struct{ InFlight, Queue float64 }
+// Report is a worker's load report, late and a little noisy; values not told are negative.
+type Report struct {
+	InFlight float64 // requests it holds
+	Queue    float64 // of these, waiting
+	Loads    float64 // loads under way or waiting
+	Memory   float64 // share of its memory that can't be freed
+}
 
 // Result ends one attempt. Final says that the request has ended too.
 type Result struct {
@@ -160,7 +165,7 @@
 	Final   bool
 	Note    Note
 	Crowd   int     // requests for the function found there, -1 if not told; not used: no gain over shares
-	Report  *Report // not used: no gain over latency
+	Report  *Report // nil if none came
 }
 
 // FirstByte says that a streamed answer has begun.
@@ -177,7 +182,7 @@
 	Copies         int
 }
 
-// Probed answers a Probe. The router sends none and takes no notice.
+// Probed answers a Probe. Good says that the worker's process answers, not that it is well.
 type Probed struct {
 	Host    string
 	Outcome Outcome
@@ -219,7 +224,7 @@
 	Order(host, function string, copies int)
 	// Shelve unloads a function's idle copies; not called: copies lapse by themselves.
 	Shelve(host, function string)
-	// Probe examines a worker; not called.
+	// Probe examines a worker; one Probed follows.
 	Probe(host string)
 	// Tell sends a message to a peer, to all where it is below 0; not called.
 	Tell(peer int, content []byte)
--- a/cmd/quillrail/plan.go
+++ b/internal/app/plan.go
@@ -1,4 +1,4 @@
-package main
+package app
 
 import (
 	"context"
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -50,21 +50,31 @@
 }
 
 // Workers is the link to the workers. Its methods are called on the turn; ends come back through
-// Core.Ended and Core.Loaded, also from within a call: the core queues them until the module has returned.
+// Core.Ended, Loaded and Probed, also from within a call: the core queues them until the module has returned.
 type Workers interface {
 	Send(a Attempt)
 	Cancel(host string, attempt Ref) // the attempt is given up: nothing more is said of it
 	Load(order Ref, host, function string, copies int)
-	Forget(host string, order Ref) // nobody waits for the order any more; it stands
+	Probe(probe Ref, host string)
+	Forget(host string, order Ref) // nobody waits for the order or probe any more; an order stands
 	Unload(host, function string)
 	Release(host string)
 	List(whole bool, members []Member)
 }
 
+// End is how an attempt has ended.
+type End struct {
+	How    decide.Outcome
+	Note   decide.Note
+	Body   []byte         // of an answer that is Good
+	Report *decide.Report // the worker's load, nil if it was not told
+}
+
 // Ends takes the ends of attempts and orders: Core does.
 type Ends interface {
-	Ended(attempt Ref, how decide.Outcome, note decide.Note, body []byte)
+	Ended(attempt Ref, e End)
 	Loaded(order Ref, how decide.Outcome, copies int)
+	Probed(probe Ref, how decide.Outcome, report *decide.Report)
 	Wrote(attempts int) // so many were written whole
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	maxRequests = 8192                  // open at once; further ones are refused
-	maxOrders   = 1024                  // orders to load that wait for their end
-	backstop    = 12 * time.Millisecond // past its deadline, a request that the module left open is failed
+	maxRequests = 8192                   // open at once; further ones are refused
+	maxOrders   = 1024                   // orders to load that wait for their end
+	backstop    = 12 * time.Millisecond  // past its deadline, a request that the module left open is failed
+	probeLimit  = 250 * time.Millisecond // a probe that is not answered by then has failed
 )
 
 // Core carries out what the module decides. It owns the tables of requests, attempts and orders.
@@ -28,7 +29,7 @@
 	requests *Table[*request]
 	ids      map[string]Ref // of the open requests, as the clients wrote them
 	attempts *Table[*attempt]
-	orders   *Table[*order]
+	orders   *Table[*order] // and probes, which name no function
 	roster   *roster.Roster
 	counts   []Counts
 	tries    uint64
@@ -165,7 +166,7 @@
 
 // Ended says how an attempt has ended. A second end, or one after the attempt was given up, finds no slot
 // and is dropped.
-func (c *Core) Ended(ref Ref, how decide.Outcome, note decide.Note, body []byte) {
+func (c *Core) Ended(ref Ref, e End) {
 	a, ok := c.attempts.Get(ref)
 	if !ok {
 		return
@@ -173,14 +174,14 @@
 	c.loop.Cancel(a.over)
 	c.attempts.Free(ref)
 	r, open := c.requests.Get(a.req)
-	if open && how == decide.Good {
+	if open && e.How == decide.Good {
 		r.last = a.host
 		c.close(r, "served")
-		r.call.Reply.Served(body)
+		r.call.Reply.Served(e.Body)
 		open = false
 	}
-	c.handle(decide.Result{ID: uint64(a.req), Shot: a.shot, Host: a.host, Outcome: how,
-		Took: c.loop.Now() - a.at, Final: !open, Note: note, Crowd: -1})
+	c.handle(decide.Result{ID: uint64(a.req), Shot: a.shot, Host: a.host, Outcome: e.How,
+		Took: c.loop.Now() - a.at, Final: !open, Note: e.Note, Crowd: -1, Report: e.Report})
 }
 
 // Loaded says how an order to load has ended.
@@ -194,6 +195,17 @@
 	c.handle(decide.Loaded{Host: o.host, Function: o.function, Outcome: how, Took: c.loop.Now() - o.at, Copies: copies})
 }
 
+// Probed says how a probe has ended.
+func (c *Core) Probed(ref Ref, how decide.Outcome, report *decide.Report) {
+	o, ok := c.orders.Get(ref)
+	if !ok {
+		return
+	}
+	c.loop.Cancel(o.over)
+	c.orders.Free(ref)
+	c.handle(decide.Probed{Host: o.host, Outcome: how, Took: c.loop.Now() - o.at, Report: report})
+}
+
 // gateway is the side of Core that the module sees.
 type gateway Core
 
@@ -222,7 +234,7 @@
 
 func (c *Core) giveUp(a *attempt, how decide.Outcome) {
 	c.workers.Cancel(a.host, a.ref)
-	c.Ended(a.ref, how, decide.NoNote, nil)
+	c.Ended(a.ref, End{How: how})
 }
 
 func (g *gateway) Retract(id uint64, shot int) {
@@ -287,10 +299,22 @@
 }
 func (g *gateway) Log(text string) { g.log.Info("module: " + text) }
 
-// The site allows no probes and no talk among gateways, and the bulletin comes by itself.
 func (g *gateway) Probe(host string) {
-	g.log.Error("module asked for a probe", zap.String("worker", host))
+	c := (*Core)(g)
+	ref, ok := c.orders.Put(&order{host: host, at: c.loop.Now()})
+	if !ok {
+		c.handle(decide.Probed{Host: host, Outcome: decide.Nop})
+		return
+	}
+	o, _ := c.orders.Get(ref)
+	o.over = c.loop.After(probeLimit, func() {
+		c.workers.Forget(host, ref)
+		c.Probed(ref, decide.Late, nil)
+	})
+	c.workers.Probe(ref, host)
 }
+
+// The site allows no talk among gateways, and the bulletin comes by itself.
 func (g *gateway) Tell(peer int, content []byte) {
 	g.log.Error("module would talk to a gateway", zap.Int("peer", peer))
 }
--- /dev/null
+++ b/internal/fleettest/fleet_test.go
@@ -0,0 +1,126 @@
+// Package fleettest plays several real processes of the gateway with faults between them. What holds under one seed has
+// to hold under every: QUILLRAIL_FLEET_SEED names another. Speed is reported, never asserted.
+package fleettest
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"quillrail/internal/app"
+	"quillrail/internal/lab"
+)
+
+// TestMain lets the test's program stand for the gateway's.
+func TestMain(m *testing.M) {
+	if os.Getenv("QUILLRAIL_TEST_PROCESS") != "" {
+		app.Main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// eventLimit bounds the wait for an event; a test that meets it has failed.
+const eventLimit = 60 * time.Second
+
+func seed() uint64 {
+	if n, err := strconv.ParseUint(os.Getenv("QUILLRAIL_FLEET_SEED"), 10, 64); err == nil {
+		return n
+	}
+	return 1
+}
+
+// start brings a fleet up.
+func start(t *testing.T, o lab.Options) *lab.Lab {
+	t.Helper()
+	o.Program, o.Env = []string{os.Args[0], "serve", "--mqtt", "none"}, []string{"QUILLRAIL_TEST_PROCESS=1"}
+	o.Dir, o.Seed, o.Log = t.TempDir(), seed(), logger{t}
+	l, err := lab.New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	if err := l.StartAll(); err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+type logger struct{ t *testing.T }
+
+func (l logger) Write(b []byte) (int, error) { l.t.Logf("%s", b[:len(b)-1]); return len(b), nil }
+
+// verdict ends a test: the rules by the stand-ins' counts, every request accounted for, and the line of figures.
+func verdict(t *testing.T, l *lab.Lab, tr *lab.Traffic) lab.Totals {
+	t.Helper()
+	n := tr.End()
+	t.Log(l.Figures(n))
+	t.Logf("latency p50=%v p99=%v of clients late p99=%v", tr.Latency(50), tr.Latency(99), tr.Lateness(99))
+	if broken := l.Broken(n); broken != "" {
+		t.Error(broken)
+	}
+	if n.Calls != n.Served+n.Refused+n.Failed+n.Unanswered+n.Unreached+n.Wrong {
+		t.Errorf("requests that have no end: %+v", n)
+	}
+	return n
+}
+
+var mixed = lab.Load{Rate: 120, Functions: 12, Wait: 2 * time.Second, Unsafe: 0.2, Keyed: 0.3, Tries: 3}
+
+// Of three gateways one is killed under load. The others go on; it is started anew and serves again. Only what it had in
+// hand is unanswered, and nothing that must not run twice does.
+func TestOneGatewayIsKilled(t *testing.T) {
+	l := start(t, lab.Options{})
+	tr := l.Start(mixed)
+	if !tr.Served(200, eventLimit) {
+		t.Fatalf("nothing is served: %+v\n%s", tr.Totals(), l.Gateways[0].Process().Log())
+	}
+	l.Gateways[1].Kill()
+	if !tr.Served(200, eventLimit) {
+		t.Errorf("two gateways do not serve: %+v", tr.Totals())
+	}
+	if err := l.Gateways[1].Start(); err != nil {
+		t.Fatal(err)
+	}
+	if !tr.Served(200, eventLimit) {
+		t.Errorf("the fleet does not serve again: %+v", tr.Totals())
+	}
+	if verdict(t, l, tr); l.Counts().Kills != 1 {
+		t.Errorf("%d gateways were killed", l.Counts().Kills)
+	}
+}
+
+// A worker drains, one crashes and comes back cold, links break and go silent: no rule is broken. With
+// QUILLRAIL_FLEET_LONG two gateways are upgraded meanwhile, where requests must not be lost; some still are, see
+// docs/ROADMAP.md, so that this part is not in CI yet.
+func TestWorkersFail(t *testing.T) {
+	long := os.Getenv("QUILLRAIL_FLEET_LONG") != ""
+	upgrade := func(g *lab.Gateway) error {
+		if !long {
+			return nil
+		}
+		return g.Upgrade()
+	}
+	l := start(t, lab.Options{})
+	tr := l.Start(mixed)
+	step := func(what func() error) {
+		t.Helper()
+		if !tr.Served(120, eventLimit) {
+			t.Fatalf("the fleet does not serve: %+v", tr.Totals())
+		}
+		if err := what(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	step(func() error { l.Workers[0].Drain(); return upgrade(l.Gateways[0]) })
+	step(func() error { l.Workers[1].Crash(); return nil })
+	step(func() error { l.Gateways[2].Link(2).Reset(); return l.Workers[1].Restart() })
+	step(func() error { return upgrade(l.Gateways[1]) })
+	step(func() error { l.Gateways[0].Link(3).Cut(); return nil })
+	step(func() error { l.Gateways[0].Link(3).Heal(); return nil })
+	step(func() error { return nil })
+	if n := verdict(t, l, tr); long && n.Unanswered+n.Unreached > 0 {
+		t.Errorf("requests were lost: %+v\n%q", n, tr.Faults())
+	}
+}
--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,268 @@
+// Package lab starts real processes of the gateway among stand-ins on loopback, and breaks them: workers with copies,
+// lanes and a cold start, a store of models, a bulletin, relays that lose and delay, clients that call at a steady pace.
+// The stand-ins count; what is said of a run is theirs, never a gateway's. It ends only what it has started.
+package lab
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Options say what a lab holds. What is left out has the value of Defaults.
+type Options struct {
+	Program  []string  // the command that starts a gateway, with its arguments
+	Env      []string  // added to the environment of gateways
+	Dir      string    // for configurations and what gateways keep; it has to exist
+	Seed     uint64    // of everything that is drawn
+	Gateways int       // 1 to 250
+	Workers  int       // 1 to 250, taking turns among the halls
+	Halls    int       // 1 to 8
+	Log      io.Writer // what is done to the fleet, a line each; nil for nowhere
+
+	Lanes     int           // calls that a copy runs at a time
+	Work      time.Duration // of a call, on average
+	Load      time.Duration // of a copy from the store, when nobody else loads
+	KeepAlive time.Duration // an idle copy stands so long
+	ColdFor   time.Duration // a worker that starts is warm after
+	ColdFrom  float64       // and begins with this part of its capacity
+	PerSecond float64       // calls a second that a warm worker bears: a cold one that gets more falls over
+}
+
+// Defaults is a small fleet that is quick to start.
+var Defaults = Options{Gateways: 3, Workers: 4, Halls: 2, Lanes: 4, Work: 20 * time.Millisecond, Load: 150 * time.Millisecond,
+	KeepAlive: 10 * time.Second, ColdFor: 5 * time.Second, ColdFrom: 0.2, PerSecond: 150}
+
+const (
+	fallMultiple = 2.5             // of its present capacity a cold worker bears, over
+	fallFor      = 3 * time.Second // so long
+	drainGrace   = 2 * time.Second // after it was told, nothing new may come to a draining worker
+	keyWindow    = 8 * time.Second // workers of a hall drop the repeat of a key for so long
+	queueEach    = 32              // calls that wait for a copy; further ones are turned away
+)
+
+// Classes of a lab, by the first letter of a request's body.
+var classes = map[byte]string{'r': "read", 'c': "command", 'o': "once"}
+
+// Lab is a fleet of gateways and what they meet. Its methods may be called from any goroutine.
+type Lab struct {
+	Options
+	Gateways []*Gateway
+	Workers  []*Worker
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	begun   time.Time
+	closers []func()
+	runs    map[string]int       // executions by request
+	keyed   map[string]time.Time // when a key last ran in a hall
+	counts  Counts
+	store   *store
+}
+
+// Counts is what the stand-ins have seen.
+type Counts struct {
+	Kills     int // gateways killed
+	Runs      int // executions of calls
+	Twice     int // requests that ran twice though their class forbids it, keyed ones within a hall and its window
+	Dropped   int // repeats of a key that workers dropped
+	LateSends int // calls and orders that came to a worker later than the grace after its drain was told
+	Fell      int // cold workers pushed over
+	Loads     int // copies loaded
+}
+
+// New prepares a lab: workers listen, bulletins are ready, gateways have their addresses and are not started yet.
+func New(o Options) (*Lab, error) {
+	d := Defaults
+	def := func(x *int, y int) {
+		if *x == 0 {
+			*x = y
+		}
+	}
+	dur := func(x *time.Duration, y time.Duration) {
+		if *x == 0 {
+			*x = y
+		}
+	}
+	def(&o.Gateways, d.Gateways)
+	def(&o.Workers, d.Workers)
+	def(&o.Halls, d.Halls)
+	def(&o.Lanes, d.Lanes)
+	dur(&o.Work, d.Work)
+	dur(&o.Load, d.Load)
+	dur(&o.KeepAlive, d.KeepAlive)
+	dur(&o.ColdFor, d.ColdFor)
+	if o.ColdFrom == 0 {
+		o.ColdFrom = d.ColdFrom
+	}
+	if o.PerSecond == 0 {
+		o.PerSecond = d.PerSecond
+	}
+	if o.Log == nil {
+		o.Log = io.Discard
+	}
+	if len(o.Program) == 0 || o.Gateways < 1 || o.Gateways > 250 || o.Workers < 1 || o.Workers > 250 || o.Halls < 1 || o.Halls > 8 {
+		return nil, fmt.Errorf("lab: a program, 1 to 250 gateways and workers and 1 to 8 halls are needed: %d, %d, %d",
+			o.Gateways, o.Workers, o.Halls)
+	}
+	l := &Lab{Options: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), begun: time.Now(), runs: map[string]int{}, keyed: map[string]time.Time{}}
+	l.store = &store{lab: l}
+	for i := range o.Workers {
+		w, err := newWorker(l, i)
+		if err != nil {
+			return nil, errors.Join(err, l.Close())
+		}
+		l.Workers = append(l.Workers, w)
+	}
+	for i := range o.Gateways {
+		g, err := newGateway(l, i)
+		if err != nil {
+			return nil, errors.Join(err, l.Close())
+		}
+		l.Gateways = append(l.Gateways, g)
+	}
+	return l, nil
+}
+
+// StartAll starts every gateway and waits until each takes calls.
+func (l *Lab) StartAll() error {
+	for _, g := range l.Gateways {
+		if err := g.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close ends all that the lab has started. It may be called more than once.
+func (l *Lab) Close() error {
+	for _, g := range l.Gateways {
+		g.end()
+	}
+	l.mu.Lock()
+	closers := l.closers
+	l.closers = nil
+	l.mu.Unlock()
+	for _, f := range closers {
+		f()
+	}
+	return nil
+}
+
+// onClose has f called when the lab ends.
+func (l *Lab) onClose(f func()) {
+	l.mu.Lock()
+	l.closers = append(l.closers, f)
+	l.mu.Unlock()
+}
+
+// Say notes a line of what is done, with the time since the lab began.
+func (l *Lab) Say(format string, a ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fmt.Fprintf(l.Log, "%7.3fs %s\n", time.Since(l.begun).Seconds(), fmt.Sprintf(format, a...))
+}
+
+// Counts returns what the stand-ins have counted so far.
+func (l *Lab) Counts() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts
+}
+
+func (l *Lab) count(f func(*Counts)) {
+	l.mu.Lock()
+	f(&l.counts)
+	l.mu.Unlock()
+}
+
+// exp draws a time from an exponential distribution.
+func (l *Lab) exp(mean time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.rng.ExpFloat64() * float64(mean))
+}
+
+// serve accepts connections at an address until the lab ends.
+func (l *Lab) serve(ln net.Listener, handle func(net.Conn)) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go handle(c)
+	}
+}
+
+// reserve takes an address on loopback for processes that come and go: a socket that is bound and never listens keeps it.
+func (l *Lab) reserve(ip string) (string, error) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return "", err
+	}
+	l.onClose(func() { unix.Close(fd) })
+	addr := [4]byte(net.ParseIP(ip).To4())
+	if err := errors.Join(unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1), unix.Bind(fd, &unix.SockaddrInet4{Addr: addr})); err != nil {
+		return "", err
+	}
+	at, err := unix.Getsockname(fd)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%s:%d", ip, at.(*unix.SockaddrInet4).Port), nil
+}
+
+// configure writes the configuration of a gateway.
+func (l *Lab) configure(g *Gateway) error {
+	var members []any
+	for _, w := range l.Workers {
+		members = append(members, map[string]any{"id": w.Name(), "host_port": g.links[w.n].Addr(), "locality": hall(w.Hall), "flavor": "std",
+			"cell": 0, "phase": "active", "size": 1, "up_since_ms": 0})
+	}
+	var halls []string
+	for i := range l.Halls {
+		halls = append(halls, hall(i))
+	}
+	class := func(name, effect, scope string, worth int) any {
+		return map[string]any{"name": name, "effect": effect, "key-scope": scope, "credit": worth, "promise-s": 0.5,
+			"deadline-s": 2, "late-worth": 0.2, "window-s": keyWindow.Seconds()}
+	}
+	conf := map[string]any{"name": g.Name, "listen": g.Addr, "seed": fmt.Sprintf("%016x", l.Seed+uint64(g.n)+1),
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 512}, "bulletin": g.bulletin.addr,
+		"known": map[string]any{"no": 1, "items": []any{map[string]any{"no": 1, "roster": map[string]any{"revision": 1,
+			"complete": true, "members": members}}}},
+		"settings": map[string]any{"azs": halls, "kinds": []string{"std"}, "balancers": len(l.Gateways) + 1, "slot-no": g.n,
+			"zone": g.Hall, "classes": []any{class("read", "idempotent", "all", 1), class("command", "deduplicated", "zone", 3),
+				class("once", "at_most_once", "all", 5)},
+			"contract": map[string]any{"drain-grace-s": drainGrace.Seconds(), "cold-from": l.ColdFrom, "cold-s": l.ColdFor.Seconds(),
+				"fall-multiple": fallMultiple, "fall-s": fallFor.Seconds()},
+			"customers": []any{map[string]any{"name": "demo", "share": 1}},
+			"family-info": map[string]any{"keep-s": l.KeepAlive.Seconds(), "marks-cold": true, "not-loaded": "load", "orders": true,
+				"free-loads": 4, "load-share": 0.3, "load-period-s": 10, "order-limit-s": 10},
+			"membership-mode": "automatic",
+			"policy-limits": map[string]any{"cancelling": true, "conn-idle-s": 30, "connect-timeout-s": 0.25, "max-retry-after-s": 2,
+				"parallel-tries": true, "probing": true, "retry-after": true, "streams-per-conn": 32, "try-limit": 5},
+			"stats": map[string]any{"how": "inline", "fields": []string{"queue", "inflight", "x1", "x0"}}}}
+	text, err := json.MarshalIndent(conf, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(g.config, text, 0o600)
+}
+
+func hall(i int) string { return "hall-" + string(rune('a'+i)) }
+
+// folder makes a folder of the lab's own.
+func (l *Lab) folder(name string) (string, error) {
+	dir := filepath.Join(l.Dir, name)
+	return dir, os.MkdirAll(dir, 0o700)
+}
--- /dev/null
+++ b/internal/lab/relay.go
@@ -0,0 +1,135 @@
+package lab
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Fault is what a relay does to what passes in one direction. The zero value lets all pass.
+type Fault struct {
+	Delay time.Duration // what passes comes so much later
+	Drop  bool          // what passes is lost, and the sender sees nothing of it
+	Rate  int           // bytes a second at most, 0 for no limit
+}
+
+// Relay passes TCP connections on, each direction with faults of its own. One direction dropped alone is a half-open
+// connection; both are a cut that nobody is told of; Reset is one that both sides see.
+type Relay struct {
+	ln    net.Listener
+	to    func() string
+	mu    sync.Mutex
+	fault [2]Fault // towards the target, and back
+	conns map[net.Conn]bool
+	cut   bool // no connection comes up
+}
+
+// newRelay listens on loopback and passes on to the address that to returns when a connection comes.
+func newRelay(l *Lab, at string, to func() string) (*Relay, error) {
+	ln, err := net.Listen("tcp", at)
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{ln: ln, to: to, conns: map[net.Conn]bool{}}
+	l.onClose(func() { ln.Close(); r.Reset() })
+	go l.serve(ln, r.handle)
+	return r, nil
+}
+
+// Addr is where the relay listens.
+func (r *Relay) Addr() string { return r.ln.Addr().String() }
+
+// Set gives the faults of both directions, also to connections that are open.
+func (r *Relay) Set(there, back Fault) {
+	r.mu.Lock()
+	r.fault = [2]Fault{there, back}
+	r.mu.Unlock()
+}
+
+// Cut has nothing pass either way, as if the cable were drawn: connections stay open and silent, new ones are taken and
+// say nothing. Heal has new ones pass again; what was open is reset.
+func (r *Relay) Cut() {
+	r.mu.Lock()
+	r.cut, r.fault = true, [2]Fault{{Drop: true}, {Drop: true}}
+	r.mu.Unlock()
+}
+
+// Heal ends a cut.
+func (r *Relay) Heal() {
+	r.mu.Lock()
+	r.cut, r.fault = false, [2]Fault{}
+	r.mu.Unlock()
+	r.Reset()
+}
+
+// Reset breaks every open connection.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+		c.Close()
+	}
+	clear(r.conns)
+}
+
+func (r *Relay) handle(near net.Conn) {
+	r.mu.Lock()
+	r.conns[near] = true
+	cut := r.cut
+	r.mu.Unlock()
+	if cut {
+		io.Copy(io.Discard, near)
+		r.drop(near)
+		return
+	}
+	far, err := net.DialTimeout("tcp", r.to(), time.Second)
+	if err != nil {
+		near.(*net.TCPConn).SetLinger(0)
+		r.drop(near)
+		return
+	}
+	r.mu.Lock()
+	r.conns[far] = true
+	r.mu.Unlock()
+	go r.pump(0, near, far)
+	r.pump(1, far, near)
+}
+
+func (r *Relay) drop(c net.Conn) {
+	c.Close()
+	r.mu.Lock()
+	delete(r.conns, c)
+	r.mu.Unlock()
+}
+
+// pump passes one direction on until it ends, and ends the other with it.
+func (r *Relay) pump(way int, from, to net.Conn) {
+	defer r.drop(from)
+	defer r.drop(to)
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		r.mu.Lock()
+		f := r.fault[way]
+		r.mu.Unlock()
+		if n > 0 && !f.Drop {
+			wait := f.Delay
+			if f.Rate > 0 {
+				wait += time.Duration(n) * time.Second / time.Duration(f.Rate)
+			}
+			if wait > 0 {
+				time.Sleep(wait) // the relay's fault is to take time
+			}
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- a/internal/lifecycle/operator_test.go
+++ b/internal/lifecycle/operator_test.go
@@ -122,6 +122,15 @@
 	}
 	defer g.net.Stop()
 	g.loop.Turn()
+	// nbio forgets an end that comes before its own goroutines have begun: a connection that is taken shows that they have.
+	conn, err := net.Dial("tcp", g.net.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for fmt.Fprint(conn, "GET /check HTTP/1.1\r\nHost: x\r\n\r\n"); g.front.Conns() == 0; g.loop.Turn() {
+		g.loop.Wait()
+	}
+	conn.Close()
 	g.done = func() {}
 	g.up = &upgrade{g: g, toReady: true}
 	g.drain()
--- a/internal/lifecycle/settings/settings.go
+++ b/internal/lifecycle/settings/settings.go
@@ -65,7 +65,11 @@
 		Connect       float64 `json:"connect-timeout-s"`
 		Streams       int     `json:"streams-per-conn"`
 	} `json:"policy-limits"`
-	Slot int `json:"slot-no"`
+	Slot  int `json:"slot-no"`
+	Stats struct {
+		Fields []string `json:"fields"`
+		How    string   `json:"how"`
+	} `json:"stats"`
 	Zone int `json:"zone"`
 }
 
@@ -81,6 +85,8 @@
 	Tenants []string
 	Zones   []string
 	Kinds   []string
+	Reports []string // the values that load reports hold, empty where there are none
+	Unknown []string // what the settings hold that is not understood; calls are taken all the same
 
 	ConnIdle       time.Duration // an idle connection to a worker is closed after
 	ConnectTimeout time.Duration // a connection not up by then has failed
@@ -128,6 +134,7 @@
 	s.MarksCold, s.TellsCrowd, s.FreeOrders = f.MarksCold, f.TellsCrowd, f.FreeLoads
 	s.OrderShare, s.OrderWindow = f.LoadShare, seconds(f.LoadPeriod)
 	s.OrderTimeout = time.Duration(f.OrderLimit * float64(time.Second))
+	site.readStats(b.Stats.How, b.Stats.Fields)
 	return site, nil
 }
 
--- a/internal/lifecycle/side.go
+++ b/internal/lifecycle/side.go
@@ -180,6 +180,7 @@
 
 func (f *fleet) Send(a core.Attempt)              { f.link(a.Host).Send(a) }
 func (f *fleet) Cancel(host string, ref core.Ref) { f.link(host).Cancel(host, ref) }
+func (f *fleet) Probe(ref core.Ref, host string)  { f.link(host).Probe(ref, host) }
 func (f *fleet) Forget(host string, ref core.Ref) { f.link(host).Forget(host, ref) }
 func (f *fleet) Unload(host, function string)     { f.link(host).Unload(host, function) }
 func (f *fleet) Release(host string)              { f.link(host).Release(host) }
--- a/internal/wire/mqtt/link.go
+++ b/internal/wire/mqtt/link.go
@@ -100,7 +100,7 @@
 func (l *Link) end(ref core.Ref, how decide.Outcome, note decide.Note, body []byte) {
 	if _, ok := l.open[ref]; ok {
 		delete(l.open, ref)
-		l.ends.Ended(ref, how, note, body)
+		l.ends.Ended(ref, core.End{How: how, Note: note, Body: body})
 	}
 }
 
@@ -108,7 +108,7 @@
 func (l *Link) Send(a core.Attempt) {
 	w := l.workers[a.Host]
 	if w == nil || !l.session.Up() {
-		l.ends.Ended(a.Ref, decide.NoConn, decide.NoNote, nil)
+		l.ends.Ended(a.Ref, core.End{How: decide.NoConn})
 		return
 	}
 	s := &sending{worker: a.Host}
@@ -218,6 +218,9 @@
 // Load is not spoken here: workers load what they lack when it is called.
 func (l *Link) Load(ref core.Ref, _, _ string, _ int) { l.ends.Loaded(ref, decide.Full, 0) }
 
+// Probe is not spoken here either: a worker that is lost has its last will published.
+func (l *Link) Probe(ref core.Ref, _ string) { l.ends.Probed(ref, decide.Nop, nil) }
+
 // Forget has nothing to forget, Unload nothing to unload, Release nothing to release.
 func (l *Link) Forget(string, core.Ref)  {}
 func (l *Link) Unload(string, string)    {}
--- a/internal/wire/sock/sock.go
+++ b/internal/wire/sock/sock.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -66,6 +67,7 @@
 	c, err := l.Listener.Accept()
 	if errors.Is(err, net.ErrClosed) {
 		<-l.over
+		runtime.Goexit() // an engine stopped before its acceptor began would have that try for good
 	}
 	return c, err
 }
--- a/internal/wire/workerlink/link.go
+++ b/internal/wire/workerlink/link.go
@@ -69,6 +69,7 @@
 	tries  int                 // the number of calls in out
 	open   map[string]core.Ref // attempts by the id spoken on the wire
 	orders map[string]core.Ref
+	probes map[string]core.Ref
 	stall  *core.Deadline             // of an answer that has begun
 	heard  time.Duration              // when something last came
 	sent   map[core.Ref]time.Duration // when the open attempts were given to it
@@ -224,7 +225,7 @@
 }
 
 // later ends an attempt that could not be sent, once the module has returned.
-func (p *Pool) later(ref core.Ref, how decide.Outcome) { p.ends.Ended(ref, how, decide.NoNote, nil) }
+func (p *Pool) later(ref core.Ref, how decide.Outcome) { p.ends.Ended(ref, core.End{How: how}) }
 
 // pick returns the fullest connection that suits: the emptier ones may then lie idle and close.
 func (h *host) pick(suits func(*conn) bool) (best *conn) {
@@ -240,7 +241,7 @@
 	if len(h.conns) >= connsEach {
 		return nil
 	}
-	c := &conn{p: p, h: h, open: map[string]core.Ref{}, orders: map[string]core.Ref{},
+	c := &conn{p: p, h: h, open: map[string]core.Ref{}, orders: map[string]core.Ref{}, probes: map[string]core.Ref{},
 		used: map[string]bool{}, sent: map[core.Ref]time.Duration{}}
 	ref, ok := p.conns.Put(c)
 	if !ok && p.closeIdle() {
@@ -262,7 +263,7 @@
 func (p *Pool) closeIdle() bool {
 	var idle *conn
 	p.conns.Each(func(_ core.Ref, c *conn) {
-		if c.ready && len(c.open)+len(c.orders) == 0 && (idle == nil || c.timer.Before(idle.timer)) {
+		if c.ready && c.idle() && (idle == nil || c.timer.Before(idle.timer)) {
 			idle = c
 		}
 	})
@@ -298,15 +299,18 @@
 	}
 }
 
+// idle reports whether nothing is open on the connection.
+func (c *conn) idle() bool { return len(c.open)+len(c.orders)+len(c.probes) == 0 }
+
 func (c *conn) rest() {
 	if c.ended || !c.ready {
 		return
 	}
 	c.p.loop.Cancel(c.timer)
-	if len(c.open)+len(c.orders) == 0 {
+	if c.idle() {
 		if c.quiet { // nothing is lost with it, and it may never speak again
 			c.p.loop.Dirty(func() { // once the CANCEL is written
-				if c.quiet && len(c.open)+len(c.orders) == 0 {
+				if c.quiet && c.idle() {
 					c.fail(decide.Reset, errors.New("silent"))
 				}
 			})
@@ -358,18 +362,21 @@
 			zap.Int("attempts", len(c.open)), zap.Int("orders", len(c.orders)), zap.Error(why))
 	}
 	for _, ref := range slices.Sorted(maps.Values(c.open)) {
-		c.p.ends.Ended(ref, how, decide.NoNote, nil)
+		c.p.ends.Ended(ref, core.End{How: how})
 	}
 	for _, ref := range slices.Sorted(maps.Values(c.orders)) {
 		c.p.ends.Loaded(ref, how, 0)
 	}
+	for _, ref := range slices.Sorted(maps.Values(c.probes)) {
+		c.p.ends.Probed(ref, how, nil)
+	}
 }
 
 var notes = map[string]decide.Note{"": decide.NoNote, "warm": decide.FoundWarm, "cold": decide.BeganLoad,
 	"joined": decide.WaitedLoad, "load_failed": decide.LoadFailed}
 
 var words = map[string]decide.Outcome{"OK": decide.Good, "MISS": decide.Miss, "BUSY": decide.Full,
-	"ERR": decide.Bad, "VOID": decide.Nop}
+	"ERR": decide.Bad, "VOID": decide.Nop, "UP": decide.Good, "DOWN": decide.Bad}
 
 func (c *conn) answer(a Answer) {
 	if c.ended {
@@ -386,12 +393,17 @@
 		delete(c.sent, ref)
 		c.retire(a.ID)
 		c.rest()
-		c.p.ends.Ended(ref, how, note, a.Body)
+		c.p.ends.Ended(ref, core.End{How: how, Note: note, Body: a.Body, Report: c.p.set.Report(a.Use, ";")})
 	} else if ref, ok := c.orders[a.ID]; ok {
 		delete(c.orders, a.ID)
 		c.retire(a.ID)
 		c.rest()
 		c.p.ends.Loaded(ref, how, a.Pods)
+	} else if ref, ok := c.probes[a.ID]; ok {
+		delete(c.probes, a.ID)
+		c.retire(a.ID)
+		c.rest()
+		c.p.ends.Probed(ref, how, c.p.set.Report(a.Use, ";"))
 	} else if !c.used[a.ID] {
 		c.retire(clip(a.ID))
 		c.p.log.Warn("answer to nothing that is open", zap.String("worker", c.h.name), zap.String("word", a.Word))
@@ -462,15 +474,41 @@
 	c.orders[tag] = ref
 }
 
-// Forget drops an order that nobody waits for.
+// Probe asks whether a worker answers, and for its load where the site's answers tell one.
+func (p *Pool) Probe(ref core.Ref, name string) {
+	h := p.hosts[name]
+	if h == nil {
+		p.ends.Probed(ref, decide.NoConn, nil)
+		return
+	}
+	c := h.pick(func(c *conn) bool { return c.ready }) // also one that is quiet: that is what is asked
+	if c == nil {
+		if c = p.dial(h); c == nil {
+			p.ends.Probed(ref, decide.Nop, nil)
+			return
+		}
+	}
+	tag := "probe-" + strconv.FormatUint(uint64(ref), 16)
+	word := "PING "
+	if len(p.set.Reports) > 0 {
+		word = "STATS "
+	}
+	c.busy()
+	c.out = append(append(append(c.out, word...), tag...), "\r\n"...)
+	c.probes[tag] = ref
+}
+
+// Forget drops an order or a probe that nobody waits for.
 func (p *Pool) Forget(name string, ref core.Ref) {
 	if h := p.hosts[name]; h != nil {
-		tag := "load-" + strconv.FormatUint(uint64(ref), 16)
+		id := strconv.FormatUint(uint64(ref), 16)
 		for _, c := range h.conns {
-			if _, ok := c.orders[tag]; ok {
-				delete(c.orders, tag)
-				c.retire(tag)
-				c.rest()
+			for tag, open := range map[string]map[string]core.Ref{"load-" + id: c.orders, "probe-" + id: c.probes} {
+				if _, ok := open[tag]; ok {
+					delete(open, tag)
+					c.retire(tag)
+					c.rest()
+				}
 			}
 		}
 	}
@@ -491,7 +529,7 @@
 func (p *Pool) Release(name string) {
 	if h := p.hosts[name]; h != nil {
 		for _, c := range append([]*conn(nil), h.conns...) {
-			if c.ready && len(c.open)+len(c.orders) == 0 {
+			if c.ready && c.idle() {
 				c.fail(decide.Reset, nil)
 			}
 		}
--- a/internal/wire/workerlink/parser.go
+++ b/internal/wire/workerlink/parser.go
@@ -20,6 +20,7 @@
 	ID, Word string
 	Detail   string // how the call found its function
 	Pods     int    // loaded copies, after an order
+	Use      string // load report, as it came
 	Body     []byte
 }
 
@@ -93,6 +94,8 @@
 			switch name {
 			case "detail":
 				a.Detail = value
+			case "use":
+				a.Use = value
 			case "pods":
 				n, err := strconv.ParseUint(value, 10, 16)
 				if err != nil {
