--- a/decide/decide.go
+++ b/decide/decide.go
@@ -47,7 +47,7 @@
 	coldSafety   = 0.8                    // part of the cold budget that is used
 	coldSlots    = 8                      // parts of FallFor that are budgeted each for itself
 	fewLoads     = 4                      // where warm calls are late, loads at one worker in so many
-	loadsEach    = 4                      // loads at one worker that this gateway waits for at once
+	loadsEach    = 2                      // loads at one worker that this gateway waits for at once
 	gainFast     = 0.1                    // weight of a new sample in a running mean
 	homePart     = 0.5                    // part of a worker's even load that one function should make up
 	lanePart     = 0.5                    // part of a function's lanes that its calls should take up
