Make one piece of twins in the report reader, the orders and the lab's defaults

Need: read again, the change had a search by hand where slices.Contains does, a check for NaN that the range already makes, Probed as a copy of Loaded but for its event, a probe looked up right after it was stored, and the lab's defaults filled by two closures where cmp.Or does. Behaviour is as it was; no test changed.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -184,25 +184,32 @@
 		Took: c.loop.Now() - a.at, Final: !open, Note: e.Note, Crowd: -1, Report: e.Report})
 }
 
-// Loaded says how an order to load has ended.
-func (c *Core) Loaded(ref Ref, how decide.Outcome, copies int) {
+// takeOrder ends an order or a probe; nil if it has ended before.
+func (c *Core) takeOrder(ref Ref) *order {
 	o, ok := c.orders.Get(ref)
 	if !ok {
-		return
+		return nil
 	}
 	c.loop.Cancel(o.over)
 	c.orders.Free(ref)
+	return o
+}
+
+// Loaded says how an order to load has ended.
+func (c *Core) Loaded(ref Ref, how decide.Outcome, copies int) {
+	o := c.takeOrder(ref)
+	if o == nil {
+		return
+	}
 	c.handle(decide.Loaded{Host: o.host, Function: o.function, Outcome: how, Took: c.loop.Now() - o.at, Copies: copies})
 }
 
 // Probed says how a probe has ended.
 func (c *Core) Probed(ref Ref, how decide.Outcome, report *decide.Report) {
-	o, ok := c.orders.Get(ref)
-	if !ok {
+	o := c.takeOrder(ref)
+	if o == nil {
 		return
 	}
-	c.loop.Cancel(o.over)
-	c.orders.Free(ref)
 	c.handle(decide.Probed{Host: o.host, Outcome: how, Took: c.loop.Now() - o.at, Report: report})
 }
 
@@ -301,12 +308,12 @@
 
 func (g *gateway) Probe(host string) {
 	c := (*Core)(g)
-	ref, ok := c.orders.Put(&order{host: host, at: c.loop.Now()})
+	o := &order{host: host, at: c.loop.Now()}
+	ref, ok := c.orders.Put(o)
 	if !ok {
 		c.handle(decide.Probed{Host: host, Outcome: decide.Nop})
 		return
 	}
-	o, _ := c.orders.Get(ref)
 	o.over = c.loop.After(probeLimit, func() {
 		c.workers.Forget(host, ref)
 		c.Probed(ref, decide.Late, nil)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -4,6 +4,7 @@
 package lab
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -83,30 +84,11 @@
 // New prepares a lab: workers listen, bulletins are ready, gateways have their addresses and are not started yet.
 func New(o Options) (*Lab, error) {
 	d := Defaults
-	def := func(x *int, y int) {
-		if *x == 0 {
-			*x = y
-		}
-	}
-	dur := func(x *time.Duration, y time.Duration) {
-		if *x == 0 {
-			*x = y
-		}
-	}
-	def(&o.Gateways, d.Gateways)
-	def(&o.Workers, d.Workers)
-	def(&o.Halls, d.Halls)
-	def(&o.Lanes, d.Lanes)
-	dur(&o.Work, d.Work)
-	dur(&o.Load, d.Load)
-	dur(&o.KeepAlive, d.KeepAlive)
-	dur(&o.ColdFor, d.ColdFor)
-	if o.ColdFrom == 0 {
-		o.ColdFrom = d.ColdFrom
-	}
-	if o.PerSecond == 0 {
-		o.PerSecond = d.PerSecond
-	}
+	o.Gateways, o.Workers, o.Halls, o.Lanes = cmp.Or(o.Gateways, d.Gateways), cmp.Or(o.Workers, d.Workers), cmp.Or(o.Halls, d.Halls),
+		cmp.Or(o.Lanes, d.Lanes)
+	o.Work, o.Load, o.KeepAlive, o.ColdFor = cmp.Or(o.Work, d.Work), cmp.Or(o.Load, d.Load), cmp.Or(o.KeepAlive, d.KeepAlive),
+		cmp.Or(o.ColdFor, d.ColdFor)
+	o.ColdFrom, o.PerSecond = cmp.Or(o.ColdFrom, d.ColdFrom), cmp.Or(o.PerSecond, d.PerSecond)
 	if o.Log == nil {
 		o.Log = io.Discard
 	}
--- a/internal/lifecycle/settings/report.go
+++ b/internal/lifecycle/settings/report.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -45,9 +45,9 @@
 	if text == "" || len(s.Reports) == 0 {
 		return nil
 	}
-	r := &decide.Report{InFlight: -1, Queue: -1, Loads: -1, Memory: -1}
-	var seen [4]*float64
-	any := false
+	none := decide.Report{InFlight: -1, Queue: -1, Loads: -1, Memory: -1}
+	r := none
+	var seen []*float64
 	for n := 0; text != "" && n < 2*len(reported); n++ { // more is no report
 		var pair string
 		pair, text, _ = strings.Cut(text, between)
@@ -56,24 +56,16 @@
 		if where == nil {
 			continue
 		}
-		at := where(r)
-		again := false
-		for i := range seen {
-			if seen[i] == nil || seen[i] == at {
-				again, seen[i] = seen[i] == at, at
-				break
-			}
-		}
+		at := where(&r)
+		again := slices.Contains(seen, at)
+		seen = append(seen, at)
 		x, err := strconv.ParseFloat(num, 64)
-		if *at = -1; err == nil && !again && x >= 0 && x <= maxReported && !math.IsNaN(x) {
+		if *at = -1; err == nil && !again && x >= 0 && x <= maxReported {
 			*at = x
 		}
 	}
-	for _, x := range []float64{r.InFlight, r.Queue, r.Loads, r.Memory} {
-		any = any || x >= 0
-	}
-	if !any {
+	if r == none {
 		return nil
 	}
-	return r
+	return &r
 }
