Divide the decisions into five files of one concern each

Need: the module stood in one file of 932 non-blank lines and could not be read in one go. Change: decide.go keeps constants, state and events; choose.go the choice and release; attempts.go attempts and the rule guards; health.go and loads.go what is learnt. The size test reads the list from deploy/balancer.toml and fails for a file of the package that is in no list. No decision has changed.

--- a/decide/api.go
+++ b/decide/api.go
@@ -1,6 +1,6 @@
 // Package decide makes the decisions of a router for functions loaded on demand. This file is its
 // whole interface: what a gateway states at start (Settings), what it reports (Event) and what it is
-// asked to do (Gateway). The decisions are in decide.go.
+// asked to do (Gateway). decide.go is where the decisions begin.
 package decide
 
 import "time"
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -4,29 +4,45 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/BurntSushi/toml"
 )
 
-// The operators sign decide.go in an hour: it stays within their limits.
+// The files that deploy/balancer.toml calls the policy stay small enough to be read.
 func TestSizeAndWidth(t *testing.T) {
-	text, err := os.ReadFile("decide.go")
-	if err != nil {
+	var deploy struct{ Policy, Node []string }
+	if _, err := toml.DecodeFile("../deploy/balancer.toml", &deploy); err != nil {
 		t.Fatal(err)
 	}
 	lines := 0
-	for i, l := range strings.Split(string(text), "\n") {
-		if strings.TrimSpace(l) != "" {
-			lines++
+	for _, name := range deploy.Policy {
+		text, err := os.ReadFile(filepath.Join("..", name))
+		if err != nil {
+			t.Fatal(err)
 		}
-		if n := len([]rune(strings.ReplaceAll(l, "\t", "    "))); n > 110 {
-			t.Errorf("line %d is %d columns wide", i+1, n)
+		for i, l := range strings.Split(string(text), "\n") {
+			if strings.TrimSpace(l) != "" {
+				lines++
+			}
+			if n := len([]rune(strings.ReplaceAll(l, "\t", "    "))); n > 110 {
+				t.Errorf("%s: line %d is %d columns wide", name, i+1, n)
+			}
 		}
 	}
 	if lines > 950 {
-		t.Errorf("decide.go has %d non-blank lines, 950 at most", lines)
+		t.Errorf("the policy has %d non-blank lines, 950 at most", lines)
+	}
+	files, _ := filepath.Glob("*.go")
+	for _, f := range files { // every file is named, so that no decision is outside the list
+		name := filepath.ToSlash(filepath.Join("decide", f))
+		if !strings.HasSuffix(f, "_test.go") && !slices.Contains(deploy.Policy, name) && !slices.Contains(deploy.Node, name) {
+			t.Errorf("%s is named neither under policy nor under node", name)
+		}
 	}
 }
 
--- /dev/null
+++ b/decide/health.go
@@ -0,0 +1,118 @@
+package decide
+
+// Health: what answers tell of a worker, and whether it takes more.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// room reports whether a worker takes more work by its answers and its window.
+func (r *Router) room(w *worker) bool {
+	return r.now >= w.fullUntil && float64(w.busy) < w.window
+}
+
+// yields reports whether a worker keeps what is left of its window for calls worth more than q. Guards
+// against overloads in which all were late alike; where answers are prompt no call waits, however many come.
+func (r *Router) yields(q *request, w *worker) bool {
+	dearer := func(c Class) bool { return c.Worth > q.worth }
+	return r.late > yieldPart && float64(w.busy) >= yieldRoom*w.window &&
+		slices.ContainsFunc(r.set.Classes, dearer)
+}
+
+// eligible reports whether an attempt of q may go to w; strict also asks that q has not tried it.
+func (r *Router) eligible(q *request, w *worker, strict bool) bool {
+	tried := func(a attempt) bool { return a.w == w && (strict || !a.done) }
+	return w.host.State == Ready && !w.health[q.class].out && r.room(w) && !r.yields(q, w) &&
+		r.mayRepeat(q, w) && r.coldRoom(w) && !slices.ContainsFunc(q.attempts, tried)
+}
+
+// judge marks the workers that look unfit for a class: set aside for a failure or an overdue call. A cap
+// keeps a common cause (a store, an overload) from emptying the fleet.
+func (r *Router) judge() {
+	for k := range r.classes {
+		out := 0
+		for _, w := range r.ready {
+			h := &w.health[k]
+			if h.out = r.now < h.aside; h.out {
+				out++
+			}
+		}
+		for _, w := range r.ready {
+			w.health[k].out = w.health[k].out && float64(out) <= outMost*float64(len(r.ready))
+		}
+	}
+}
+
+func (r *Router) learn(q *request, a *attempt, e Result) {
+	w, p, c, took := a.w, a.p, &r.classes[q.class], ms(e.Took)
+	switch e.Outcome {
+	case Good:
+		r.passed(a)
+		for i := range q.attempts {
+			if o := &q.attempts[i]; o.doubled && !o.done {
+				o.w.lost, o.w.lostAt = 1+fade(o.w.lost, r.now-o.w.lostAt, lostOver), r.now
+			}
+		}
+		w.health[q.class], q.fn.served, w.failedAt = health{}, true, 0
+		r.goodRate, r.goodAt = r.rate()+1/lately.Seconds(), r.now
+		if a.warm { // where it had to load, memory bears fewer copies
+			r.spread *= spreadUp
+			if e.Note == BeganLoad {
+				r.spread *= spreadDown
+			}
+			r.spread = max(spreadLeast, min(r.spread, spreadMost))
+		}
+		if e.Note == FoundWarm || !r.set.MarksCold {
+			r.doubt -= 2 * gainFast * r.doubt
+			p.proven = max(p.proven, a.at)
+			c.dev += gainFast / 2 * (math.Abs(took-c.mean) - c.dev)
+			c.mean += gainFast / 2 * (took - c.mean)
+			part := took / max(ms(r.set.Classes[q.class].Aim), c.work/quietPart)
+			r.late += gainFast / 3 * (min(2, part) - r.late)
+			r.resize(w, part)
+		}
+		r.landed(p)
+	case Full:
+		r.late += gainFast / 3 * (1 - r.late)
+		if w.fullUntil = r.now + crowdPause; !p.loaded && p.inflight == 0 {
+			q.fn.drop(w)
+		}
+	case Miss:
+		q.fn.drop(w)
+	case Bad, Late, NoConn, Reset:
+		w.failedAt = cmp.Or(w.failedAt, r.now)
+		dead := e.Outcome == NoConn || e.Outcome == Reset && w.failedAt < r.now // not one connection
+		if dead || e.Note == LoadFailed {
+			q.fn.drop(w)
+		}
+		for k := range w.health { // loads that fail or last and what nobody ever served show no sickness
+			if dead || e.Outcome == Bad && k == q.class && e.Note != LoadFailed && q.fn.served {
+				r.strike(w, k)
+			}
+		}
+	}
+}
+
+// strike sets a worker aside for a class, at first for as long as this gateway takes to send each worker a
+// call (a shorter time would not be noticed), doubling while it goes on failing.
+func (r *Router) strike(w *worker, class int) {
+	if h := &w.health[class]; r.now >= h.aside {
+		pace := time.Duration(float64(len(r.ready)) / max(r.rate(), 1) * float64(time.Second))
+		h.length = min(max(2*h.length, asideFirst, pace), 16*max(asideFirst, pace))
+		h.aside = r.now + h.length
+	}
+}
+
+// resize moves the window of own attempts at a worker, against queues in which every call is late.
+func (r *Router) resize(w *worker, part float64) {
+	w.part += gainPart * (part - w.part)
+	if w.part < aimPart {
+		w.window = math.Min(windowMost, w.window+0.5)
+	} else if r.now-w.shrunkAt > crowdPause {
+		w.shrunkAt = r.now
+		w.window = math.Max(windowMin, 0.8*math.Min(w.window, float64(w.busy+1)))
+	}
+}
