Have a fleet come back from a power loss: membership, a store, trust and phases

A gateway that started knew nothing but its configuration; by that it judged cold workers at almost nothing, and by old state, were there any, it would have pushed the store over. Change: internal/fleet/recover (pure) says what is trusted of each kind of state, by whether its age can be known, joins the others' words towards safety, orders the phases, and admits clients by class worth, first loads of functions being shared out. internal/fleet/member has lives, names and pauses, on hashicorp/memberlist; internal/fleet/store keeps entries with checksums on bbolt, off the turn. internal/fleet runs them; deploy/fleet.toml is off. The lab loses power, spoils disks and has a store that can be pushed over. The module can be told what rate was served before (Vouch) and what copies others have found (Stand).

--- a/decide/memory.go
+++ b/decide/memory.go
@@ -103,6 +103,50 @@
 	return m
 }
 
+// Vouch has the rate of calls served count as at least perSec from now on: what a gateway that comes back is known to have
+// served, by which it judges what cold workers bear. It fades like any rate.
+func (r *Router) Vouch(now time.Duration, perSec float64) {
+	r.now = max(r.now, now)
+	if perSec > r.rate() {
+		r.goodRate, r.goodAt = perSec, r.now
+	}
+}
+
+// Stand notes that others have found a copy of a function at a worker, which was started at since, at a time at. What is
+// known of that worker from before it was started anew is dropped.
+func (m *Memory) Stand(fn, worker string, since, at time.Duration) {
+	if at < since {
+		return
+	}
+	i := slices.IndexFunc(m.Workers, func(w WorkerMemory) bool { return w.Name == worker })
+	if i < 0 || m.Workers[i].Since < since {
+		w := WorkerMemory{Name: worker, Since: since, Window: windowMost, Deficit: make([]float64, len(m.Turn)),
+			Aside: make([]time.Duration, len(m.Classes)), Length: make([]time.Duration, len(m.Classes))}
+		if i < 0 {
+			m.Workers = append(m.Workers, w)
+		} else {
+			m.Workers[i] = w
+			for k := range m.Funcs {
+				m.Funcs[k].Places = slices.DeleteFunc(m.Funcs[k].Places, func(p PlaceMemory) bool { return p.Worker == worker })
+			}
+		}
+	}
+	k := slices.IndexFunc(m.Funcs, func(f FunctionMemory) bool { return f.Name == fn })
+	if k < 0 {
+		k = len(m.Funcs)
+		m.Funcs = append(m.Funcs, FunctionMemory{Name: fn, Lanes: 1, Served: true, UsedAt: at})
+	}
+	f := &m.Funcs[k]
+	j := slices.IndexFunc(f.Places, func(p PlaceMemory) bool { return p.Worker == worker })
+	if j < 0 {
+		j = len(f.Places)
+		f.Places = append(f.Places, PlaceMemory{Worker: worker})
+	}
+	if p := &f.Places[j]; at >= p.LastSend || !p.Loaded {
+		p.LastSend, p.Proven, p.Loaded = max(at, p.LastSend), max(at, p.Proven), true
+	}
+}
+
 // Recall has a new router begin with what another has learnt, before its first event. The workers count as gone until
 // the list names them; one that was started anew since is forgotten then. A memory that does not fit the settings, or
 // that none can have, is refused and changes nothing.
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -28,6 +28,7 @@
 func command() *cli.Command {
 	level := &cli.StringFlag{Name: "log-level", Value: "info", Usage: "least level that is logged: debug, info, warn, error"}
 	side := &cli.StringFlag{Name: "mqtt", Value: "deploy/mqtt.toml", Usage: "the file of the MQTT front and the flow export"}
+	peers := &cli.StringFlag{Name: "fleet", Value: "deploy/fleet.toml", Usage: "the file of the fleet that this gateway is of"}
 	return &cli.Command{
 		Name:  "quillrail",
 		Usage: "a gateway for functions loaded on demand",
@@ -36,15 +37,15 @@
 			{
 				Name:   "serve",
 				Usage:  "serve calls as the configuration in $NODE_CONFIG says, until SIGTERM",
-				Flags:  []cli.Flag{level, side},
+				Flags:  []cli.Flag{level, side, peers},
 				Action: serve,
 			},
 			{
 				Name:  "check-config",
 				Usage: "read the configuration in $NODE_CONFIG and say what is wrong with it",
-				Flags: []cli.Flag{side},
+				Flags: []cli.Flag{side, peers},
 				Action: func(_ context.Context, c *cli.Command) error {
-					conf, err := lifecycle.FromEnv(c.String("mqtt"))
+					conf, err := lifecycle.FromEnv(c.String("mqtt"), c.String("fleet"))
 					if err != nil {
 						return err
 					}
@@ -53,6 +54,10 @@
 					}
 					_, err = fmt.Fprintf(c.Root().Writer, "%s: listens on %s, %d classes, %d tenants, event %d\n", conf.Name,
 						conf.Listen, len(conf.Site.Classes), len(conf.Site.Tenants), conf.Last)
+					if f := conf.Fleet; err == nil && f.Enabled {
+						_, err = fmt.Fprintf(c.Root().Writer, "of the fleet %s at %s with %d seeds; what gateways tell each other is "+
+							"neither secret nor signed: loopback and private nets only\n", f.Fleet, f.Bind, len(f.Seeds))
+					}
 					return err
 				},
 			},
@@ -76,7 +81,7 @@
 	hup := make(chan os.Signal, 1) // before anything else: unhandled, the signal ends the process
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	conf, err := lifecycle.FromEnv(c.String("mqtt"))
+	conf, err := lifecycle.FromEnv(c.String("mqtt"), c.String("fleet"))
 	if err != nil {
 		return err
 	}
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -84,5 +84,15 @@
 	}
 }
 
+// Vouch has the module judge cold workers by a rate that was served before, in calls a second.
+func (c *Core) Vouch(perSec float64) { c.router.Vouch(c.loop.Now(), perSec) }
+
+// Hold leaves workers alone that another gateway knows to drain, in place of those that were held before.
+func (c *Core) Hold(ids map[string]bool) {
+	if ev := c.roster.Hold(ids); len(ev.Hosts) > 0 {
+		c.handle(ev)
+	}
+}
+
 // Banned is the ban on a worker, if there is one.
 func (c *Core) Banned(id string) (roster.Ban, bool) { return c.roster.Ban(id) }
--- /dev/null
+++ b/internal/fleet/recover/recover_test.go
@@ -0,0 +1,258 @@
+package recover
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"quillrail/decide"
+)
+
+type silent struct{}
+
+func (silent) Route(uint64, string, time.Duration) {}
+func (silent) Retract(uint64, int)                 {}
+func (silent) Refuse(uint64, time.Duration)        {}
+func (silent) Lose(uint64)                         {}
+func (silent) Order(string, string, int)           {}
+func (silent) Shelve(string, string)               {}
+func (silent) Probe(string)                        {}
+func (silent) Tell(int, []byte)                    {}
+func (silent) Watch(bool)                          {}
+func (silent) Lookup()                             {}
+func (silent) Release(string)                      {}
+func (silent) WakeAt(time.Duration, string)        {}
+func (silent) Log(string)                          {}
+
+func router(t interface{ Fatal(...any) }) *decide.Router {
+	r, err := decide.New(decide.Settings{Classes: []decide.Class{{Aim: time.Second, Deadline: 4 * time.Second}},
+		Tenants: []decide.Tenant{{}}, MaxAttempts: 3, KeepAlive: 10 * time.Second}, 1, silent{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+const wall = 1000 * time.Hour // of the day of these tests
+
+// memory draws what a module may have learnt by wall.
+func memory(t *rapid.T) *decide.Memory {
+	past := func(name string) time.Duration {
+		return wall - time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, name))
+	}
+	m := router(t).Remember()
+	m.GoodRate, m.GoodAt, m.Late, m.Calls, m.CalledAt = 7, past("good"), 0.5, 9, past("called")
+	for range rapid.IntRange(0, 3).Draw(t, "orders") {
+		m.Orders, m.Arrivals = append(m.Orders, past("order")), append(m.Arrivals, past("arrival"))
+	}
+	m.Workers = []decide.WorkerMemory{{Name: "w", Since: past("since"), Deficit: []float64{-5}, Window: 8, LostAt: past("lost"),
+		FailedAt: past("failed"), FullUntil: past("full") + 2*time.Minute, Aside: []time.Duration{past("aside") + time.Minute},
+		Length: []time.Duration{time.Second}, Cold: []time.Duration{past("cold")}}}
+	m.Funcs = []decide.FunctionMemory{{Name: "f", Lanes: 2, UsedAt: past("used"), Calls: 3, Places: []decide.PlaceMemory{
+		{Worker: "w", LastSend: past("sent"), Proven: past("proven"), Loaded: true, Ordered: -past("ordered")}}}}
+	return m
+}
+
+var limits = Limits{Classes: 1, Tenants: 1, KeepAlive: 10 * time.Second}
+
+// Whatever was saved and whatever the clock has done since, a new module accepts it, and by the rule: in one boot a step of
+// the wall clock changes nothing but the times' origin; after another boot guards count as used now, and no copy stands.
+func TestWhatIsTrusted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := memory(t)
+		age := time.Duration(rapid.Int64Range(0, int64(5*time.Minute)).Draw(t, "age"))
+		step := time.Duration(rapid.Int64Range(-int64(500*time.Hour), int64(500*time.Hour)).Draw(t, "step"))
+		saved := func() *Saved {
+			c := *m
+			c.Orders, c.Arrivals, c.Refilled = slices.Clone(m.Orders), slices.Clone(m.Arrivals), slices.Clone(m.Refilled)
+			c.Tokens, c.Turn = slices.Clone(m.Tokens), slices.Clone(m.Turn)
+			w := m.Workers[0]
+			w.Aside, w.Length, w.Cold, w.Deficit = slices.Clone(w.Aside), slices.Clone(w.Length), slices.Clone(w.Cold), slices.Clone(w.Deficit)
+			f := m.Funcs[0]
+			f.Places = slices.Clone(f.Places)
+			c.Workers, c.Funcs = []decide.WorkerMemory{w}, []decide.FunctionMemory{f}
+			return &Saved{At: Stamp{Wall: wall, Boot: "a", Up: time.Hour}, Module: &c, Former: 7}
+		}
+		for _, boot := range []string{"a", "b", ""} {
+			now := Stamp{Wall: wall + age + step, Boot: boot, Up: time.Hour + age}
+			s := saved()
+			verdicts := s.Trusted(now, limits)
+			if len(verdicts) != 13 {
+				t.Fatalf("%d verdicts", len(verdicts))
+			}
+			if err := router(t).Recall(s.Module, now.Wall); err != nil {
+				t.Fatalf("boot %q, age %v, step %v: %v", boot, age, step, err)
+			}
+			p := s.Module.Funcs[0].Places[0]
+			if boot == "a" {
+				if want := m.Funcs[0].Places[0].LastSend + step; p.LastSend != want || !p.Loaded {
+					t.Fatalf("age %v, step %v: last send %v, want %v", age, step, p.LastSend, want)
+				}
+				continue
+			}
+			if p.Loaded || p.LastSend != now.Wall || slices.ContainsFunc(s.Module.Orders, func(x time.Duration) bool { return x != now.Wall }) ||
+				s.Module.Workers[0].Cold[0] != now.Wall || s.Module.Workers[0].Aside[0] != 0 {
+				t.Fatalf("of unknown age, and believed: %+v", s.Module)
+			}
+		}
+		s := saved()
+		if s.Trusted(Stamp{Wall: wall}, Limits{Classes: 2, Tenants: 1}); s.Module != nil {
+			t.Fatal("a memory of other settings is used")
+		}
+	})
+}
+
+func marks(t *rapid.T, name string) Marks {
+	return rapid.MapOf(rapid.SampledFrom([]string{"a", "b", "c"}), rapid.Custom(func(t *rapid.T) Mark {
+		return Mark{rapid.Uint64Range(1, 4).Draw(t, "seq"), rapid.Bool().Draw(t, "banned"),
+			time.Duration(rapid.Int64Range(0, 2).Draw(t, "since"))}
+	})).Draw(t, name)
+}
+
+// Marks come to the same in whatever order they are joined and however often; of two words of one number the ban counts.
+func TestMarksConverge(t *testing.T) {
+	join := func(all ...Marks) Marks {
+		m := Marks{}
+		for _, x := range all {
+			m.Join(x)
+		}
+		return m
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := marks(t, "a"), marks(t, "b"), marks(t, "c")
+		one := join(a, b, c)
+		if other := join(c, a, join(b, a), c); !maps.Equal(one, other) {
+			t.Fatalf("%v and %v", one, other)
+		}
+		for id, k := range one {
+			for _, m := range []Marks{a, b, c} {
+				if o, ok := m[id]; ok && (o.Seq > k.Seq || o.Seq == k.Seq && o.Banned && !k.Banned) {
+					t.Fatalf("%v is forgotten for %v", o, k)
+				}
+			}
+		}
+		was := one["a"]
+		if k := one.Say("a", !was.Banned, 0); !k.Newer(was) {
+			t.Fatalf("%v does not follow %v", k, was)
+		}
+	})
+	full := Marks{}
+	for i := range maxMarks {
+		full[string(rune(0x4e00+i))] = Mark{Seq: 1}
+	}
+	if _, refused := full.Join(Marks{"one more": {Seq: 1, Banned: true}}); refused != 1 || len(full) != maxMarks {
+		t.Errorf("%d refused, %d marks", refused, len(full))
+	}
+}
+
+// Words come to the same in any order: the newest list, whoever drains for anybody, the latest start, the latest find.
+func TestWordsAreJoinedTowardsSafety(t *testing.T) {
+	a := &Word{Event: 5, Draining: []string{"x"}, Started: map[string]int64{"y": 3000}, Stands: map[string][]Stand{"f": {{"x", 500}}}, Rate: 10}
+	b := &Word{Event: 8, Started: map[string]int64{"y": 1000}, Stands: map[string][]Stand{"f": {{"x", 100}, {"z", 0}}}, Rate: 20, Full: true,
+		Marks: Marks{"w": {Seq: 1, Banned: true}}}
+	one, other := NewAgreed(), NewAgreed()
+	for _, w := range []*Word{a, b} {
+		if err := w.Check(); err != nil {
+			t.Fatal(err)
+		}
+		one.Add(w, wall)
+	}
+	other.Add(b, wall)
+	other.Add(a, wall)
+	if !reflect.DeepEqual(one, other) {
+		t.Errorf("%+v and %+v", one, other)
+	}
+	if one.Event != 8 || one.Words != 2 || one.Full != 1 || one.Started["y"] != wall-time.Second || len(one.Stands["f"]) != 2 {
+		t.Errorf("agreed: %+v", one)
+	}
+	if held := one.Held(4); held["x"] != 5 || len(one.Held(5)) != 0 {
+		t.Errorf("held: %v, and once the list is there %v", held, one.Held(5))
+	}
+	for _, w := range []Word{{Rate: -1}, {Started: map[string]int64{"": 1}}, {Started: map[string]int64{"a": -1}},
+		{Stands: map[string][]Stand{"f": {{"", 1}}}}, {Stands: map[string][]Stand{"f": {{"w", maxAge + 1}}}}, {Marks: Marks{"": {}}}} {
+		if w.Check() == nil {
+			t.Errorf("heeded: %+v", w)
+		}
+	}
+}
+
+// Phases follow each other, each ends once, and what comes late changes nothing.
+func TestCourse(t *testing.T) {
+	c := NewCourse(wall)
+	for now, p := wall, Reading; p < Full; p++ {
+		if c.Due(now) || !c.Due(now+p.Limit()) {
+			t.Errorf("%v is due at the wrong time", p)
+		}
+		now += p.Limit()
+		if !c.Pass(now, p, "something") || c.Pass(now, p, "") || c.Phase() != p+1 {
+			t.Errorf("%v: now %v", p, c.Phase())
+		}
+	}
+	if c.Pass(wall, Full, "") || c.Due(wall+time.Hour) || len(c.Poorer()) != 4 {
+		t.Errorf("at the end: %v, without %v", c.Phase(), c.Poorer())
+	}
+}
+
+// No more first loads are under way than there are places, however calls come and end; who is worth most is never refused
+// where somebody worth less is taken; once it is done it stays done.
+func TestAdmission(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now, gateways := wall, rapid.IntRange(1, 5).Draw(t, "gateways")
+		a := NewAdmission(Share{Worth: []float64{1, 5}, Former: float64(rapid.IntRange(0, 50).Draw(t, "former")), Loads: 6, Gateways: gateways},
+			rapid.Float64Range(0, 1).Draw(t, "bear"), now)
+		under := map[string]time.Duration{}
+		done := false
+		for range 200 {
+			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond
+			fn := string(rune('a' + rapid.IntRange(0, 12).Draw(t, "fn")))
+			class := rapid.IntRange(0, 1).Draw(t, "class")
+			if done && !a.Done(now) {
+				t.Fatal("it begins again")
+			}
+			done = a.Done(now)
+			stood, spare := a.stands[fn], a.tokens
+			ok := a.Admit(now, class, fn)
+			if !ok && stood && class == 1 && spare >= 1 {
+				t.Fatal("the class worth most is refused with room left")
+			}
+			if ok && !stood && !done {
+				if _, twice := under[fn]; !twice {
+					under[fn] = now
+				}
+			}
+			for f, at := range under {
+				if a.stands[f] || now-at >= loadLimit {
+					delete(under, f)
+				}
+			}
+			if !done && len(under) > a.Slots() {
+				t.Fatalf("%d first loads in %d places", len(under), a.Slots())
+			}
+			if ok && rapid.Bool().Draw(t, "ends") {
+				a.Ended(fn, rapid.IntRange(0, 3).Draw(t, "served") > 0)
+				if a.stands[fn] {
+					delete(under, fn)
+				}
+			}
+		}
+	})
+}
+
+func TestSavedIsChecked(t *testing.T) {
+	good := Saved{List: []decide.Host{{Name: "w"}}, Addrs: []string{"a:1"}, Former: 1, Alive: 3}
+	if err := good.Check(); err != nil {
+		t.Error(err)
+	}
+	for i, change := range []func(*Saved){func(s *Saved) { s.Addrs = nil }, func(s *Saved) { s.Former = -1 }, func(s *Saved) { s.Alive = -1 },
+		func(s *Saved) { s.List = []decide.Host{{}} }, func(s *Saved) { s.List = []decide.Host{{Name: "w", State: 9}} },
+		func(s *Saved) { s.Marks = Marks{"": {}} }} {
+		s := good
+		if change(&s); s.Check() == nil {
+			t.Errorf("change %d is not noticed", i)
+		}
+	}
+}
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -9,12 +9,14 @@
 	"time"
 
 	"quillrail/internal/app"
+	"quillrail/internal/fleet"
 	"quillrail/internal/lab"
 )
 
 // TestMain lets the test's program stand for the gateway's.
 func TestMain(m *testing.M) {
 	if os.Getenv("QUILLRAIL_TEST_PROCESS") != "" {
+		fleet.TrustAll = os.Getenv("QUILLRAIL_TEST_TRUST_ALL") != ""
 		app.Main()
 		return
 	}
@@ -34,7 +36,7 @@
 // start brings a fleet up.
 func start(t *testing.T, o lab.Options) *lab.Lab {
 	t.Helper()
-	o.Program, o.Env = []string{os.Args[0], "serve", "--mqtt", "none"}, []string{"QUILLRAIL_TEST_PROCESS=1"}
+	o.Program, o.Env = []string{os.Args[0], "serve", "--mqtt", "none"}, append(o.Env, "QUILLRAIL_TEST_PROCESS=1")
 	o.Dir, o.Seed, o.Log = t.TempDir(), seed(), logger{t}
 	l, err := lab.New(o)
 	if err != nil {
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -30,6 +30,7 @@
 	config     string
 	bulletin   *bulletin
 	links      []*Relay // to the workers, by number
+	peer       string   // where other gateways reach it
 	mu         sync.Mutex
 	procs      []*Process // all that were started, the last one in front of clients
 }
@@ -53,6 +54,7 @@
 		}
 		g.links = append(g.links, r)
 	}
+	g.peer = fmt.Sprintf("127.77.4.%d:%d", n+1, 20_000+os.Getpid()%20_000)
 	return g, l.configure(g)
 }
 
@@ -72,6 +74,18 @@
 // Start starts a process of the gateway and waits until it takes calls. Beside one that runs it is a new version, which
 // takes over.
 func (g *Gateway) Start() error {
+	if err := g.begin(); err != nil {
+		return err
+	}
+	if _, err := g.Process().Await("ready", startLimit); err != nil {
+		return err
+	}
+	g.lab.Say("%s takes calls at %s", g.Name, g.Addr)
+	return nil
+}
+
+// begin starts a process and does not wait until it takes calls.
+func (g *Gateway) begin() error {
 	p, err := g.lab.start(g)
 	if err != nil {
 		return err
@@ -79,10 +93,6 @@
 	g.mu.Lock()
 	g.procs = append(g.procs, p)
 	g.mu.Unlock()
-	if _, err := p.Await("ready", startLimit); err != nil {
-		return err
-	}
-	g.lab.Say("%s takes calls at %s", g.Name, g.Addr)
 	return nil
 }
 
@@ -151,7 +161,14 @@
 
 // start starts a process that is ended with the lab, and when the lab's own process dies.
 func (l *Lab) start(g *Gateway) (*Process, error) {
-	cmd := exec.Command(l.Program[0], l.Program[1:]...)
+	args := append([]string(nil), l.Program[1:]...)
+	if l.Fleet {
+		if err := g.joinFleet(); err != nil {
+			return nil, err
+		}
+		args = append(args, "--fleet", filepath.Join(g.dir, "fleet.toml"))
+	}
+	cmd := exec.Command(l.Program[0], args...)
 	cmd.Dir = g.dir
 	cmd.Env = append(append(os.Environ(), "NODE_CONFIG="+g.config, "TMPDIR="+g.dir,
 		fmt.Sprintf("NODE_OPERATOR=127.77.3.%d:0", g.n+1)), l.Env...)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -36,6 +36,8 @@
 	KeepAlive time.Duration // an idle copy stands so long
 	ColdFor   time.Duration // a worker that starts is warm after
 	ColdFrom  float64       // and begins with this part of its capacity
+	Fleet     bool          // gateways know each other and keep their state on disk
+	StoreAt   int           // loads at once that push the store over, 0 for never
 	PerSecond float64       // calls a second that a warm worker bears: a cold one that gets more falls over
 }
 
@@ -79,6 +81,7 @@
 	LateSends int // calls and orders that came to a worker later than the grace after its drain was told
 	Fell      int // cold workers pushed over
 	Loads     int // copies loaded
+	Pushed    int // times that the store was pushed over
 }
 
 // New prepares a lab: workers listen, bulletins are ready, gateways have their addresses and are not started yet.
@@ -116,13 +119,19 @@
 }
 
 // StartAll starts every gateway and waits until each takes calls.
-func (l *Lab) StartAll() error {
-	for _, g := range l.Gateways {
-		if err := g.Start(); err != nil {
-			return err
-		}
+func (l *Lab) StartAll() error { return each(l.Gateways, (*Gateway).Start) }
+
+// each does something to all at once and waits for the last.
+func each[T any](all []T, do func(T) error) error {
+	errs := make(chan error, len(all))
+	for _, x := range all {
+		go func() { errs <- do(x) }()
 	}
-	return nil
+	var err error
+	for range all {
+		err = errors.Join(err, <-errs)
+	}
+	return err
 }
 
 // Close ends all that the lab has started. It may be called more than once.
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -36,9 +36,16 @@
 	late    *hdrhistogram.Histogram // microseconds that clients began after they meant to
 	waits   []waiter
 	marks   []Mark
+	begun   time.Time
+	bins    [][3]bin // of 0.1 s by when requests were due, by class
 	faults  []string // what clients met instead of an answer, the first few
 }
 
+// bin counts the requests of a class that were due in a tenth of a second.
+type bin struct{ due, served int }
+
+var worths = [3]float64{1, 3, 5} // of the classes read, command, once, as the gateways are told
+
 type waiter struct {
 	served int
 	done   chan struct{}
@@ -66,8 +73,9 @@
 	t := &Traffic{lab: l, load: o, stop: make(chan struct{}),
 		http:    &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		latency: hdrhistogram.New(1, 60_000_000, 3), late: hdrhistogram.New(1, 60_000_000, 3)}
+	t.begun = time.Now()
 	t.wg.Add(1)
-	go t.pace(rand.New(rand.NewPCG(l.Seed, 2)), time.Now())
+	go t.pace(rand.New(rand.NewPCG(l.Seed, 2)), t.begun)
 	return t
 }
 
@@ -118,6 +126,11 @@
 	t.late.RecordValue(max(1, lag.Microseconds()))
 	s := &t.totals
 	s.Calls++
+	b := t.bin(due, body[0])
+	b.due++
+	if end == "served" {
+		b.served++
+	}
 	switch end {
 	case "served":
 		s.Served++
@@ -184,6 +197,47 @@
 	return "failed"
 }
 
+func (t *Traffic) bin(due time.Time, class byte) *bin {
+	i := int(due.Sub(t.begun) / binLength)
+	for len(t.bins) <= i {
+		t.bins = append(t.bins, [3]bin{})
+	}
+	return &t.bins[i][strings.IndexByte("rco", class)]
+}
+
+const binLength = 100 * time.Millisecond
+
+// Worth is the part of the worth that was asked for from a moment on, for so long, that was served. class is 0 to 2, or
+// below 0 for all of them; 1 where nothing was asked for.
+func (t *Traffic) Worth(from time.Time, long time.Duration, class int) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var due, served float64
+	first := int(from.Sub(t.begun) / binLength)
+	for i := max(0, first); i < min(len(t.bins), first+int(long/binLength)); i++ {
+		for k, b := range t.bins[i] {
+			if class < 0 || class == k {
+				due, served = due+worths[k]*float64(b.due), served+worths[k]*float64(b.served)
+			}
+		}
+	}
+	if due == 0 {
+		return 1
+	}
+	return served / due
+}
+
+// Until is how long after back it was until, for the second that follows, so much of the former part of the worth was
+// served; limit if it never was by then.
+func (t *Traffic) Until(back time.Time, former, part float64, class int, limit time.Duration) time.Duration {
+	for d := time.Duration(0); d < limit; d += binLength {
+		if t.Worth(back.Add(d), time.Second, class) >= part*former {
+			return d
+		}
+	}
+	return limit
+}
+
 // Faults are the first few things that clients met instead of an answer.
 func (t *Traffic) Faults() []string {
 	t.mu.Lock()
@@ -241,15 +295,15 @@
 func (l *Lab) Figures(t Totals) string {
 	c := l.Counts()
 	return fmt.Sprintf("figures: gateways=%d workers=%d kills=%d calls=%d served=%d refused=%d failed=%d unanswered=%d unreached=%d "+
-		"wrong=%d twice=%d dropped=%d late_sends=%d fell=%d loads=%d", len(l.Gateways), len(l.Workers), c.Kills, t.Calls, t.Served,
-		t.Refused, t.Failed, t.Unanswered, t.Unreached, t.Wrong, c.Twice, c.Dropped, c.LateSends, c.Fell, c.Loads)
+		"wrong=%d twice=%d dropped=%d late_sends=%d fell=%d loads=%d store_pushed=%d", len(l.Gateways), len(l.Workers), c.Kills, t.Calls, t.Served,
+		t.Refused, t.Failed, t.Unanswered, t.Unreached, t.Wrong, c.Twice, c.Dropped, c.LateSends, c.Fell, c.Loads, c.Pushed)
 }
 
 // Broken names the rules that the stand-ins saw broken, "" if none was.
 func (l *Lab) Broken(t Totals) string {
 	c, text := l.Counts(), ""
 	for name, n := range map[string]int{"served with a wrong body": t.Wrong, "ran twice": c.Twice, "sent to a draining worker": c.LateSends,
-		"cold worker pushed over": c.Fell} {
+		"cold worker pushed over": c.Fell, "store pushed over": c.Pushed} {
 		if n > 0 {
 			text += fmt.Sprintf("%s: %d; ", name, n)
 		}
--- /dev/null
+++ b/internal/lab/power.go
@@ -0,0 +1,83 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+const disk = "fleet.db" // the file of a gateway's state
+
+// joinFleet writes the file by which a gateway knows of the others, and its machine's boot.
+func (g *Gateway) joinFleet() error {
+	text := fmt.Sprintf("enabled = true\nfleet = \"lab\"\nbind = %q\ndir = %q\nboot_id = %q\nfirst_loads = %d\nseeds = [", g.peer, g.disk(),
+		g.boot(), max(1, g.lab.StoreAt/4))
+	for _, o := range g.lab.Gateways {
+		text += fmt.Sprintf("%q, ", o.peer)
+	}
+	err := errors.Join(os.MkdirAll(g.disk(), 0o700), os.WriteFile(filepath.Join(g.dir, "fleet.toml"), []byte(text+"]\n"), 0o600))
+	if _, missing := os.Stat(g.boot()); missing != nil {
+		err = errors.Join(err, os.WriteFile(g.boot(), []byte("first boot\n"), 0o600))
+	}
+	return err
+}
+
+func (g *Gateway) disk() string { return filepath.Join(g.dir, "disk") }
+func (g *Gateway) boot() string { return filepath.Join(g.dir, "boot") }
+
+// PowerLoss ends gateways and workers at once, as a loss of power does: nobody is told, and the machines boot anew.
+func (l *Lab) PowerLoss(gateways []*Gateway, workers []*Worker) {
+	l.Say("power is lost by %d gateways and %d workers", len(gateways), len(workers))
+	l.count(func(c *Counts) { c.Kills += len(gateways) })
+	for _, w := range workers {
+		w.stop(true)
+	}
+	each(gateways, func(g *Gateway) error {
+		p := g.Process()
+		if p == nil {
+			return nil
+		}
+		p.End(syscall.SIGKILL)
+		return os.WriteFile(g.boot(), []byte(fmt.Sprintln("boot of", time.Now().UnixNano())), 0o600)
+	})
+}
+
+// PowerBack starts workers, empty and cold, and gateways. It does not wait for these to take calls.
+func (l *Lab) PowerBack(gateways []*Gateway, workers []*Worker) error {
+	l.Say("power is back for %d gateways and %d workers", len(gateways), len(workers))
+	err := each(workers, (*Worker).Restart)
+	return errors.Join(err, each(gateways, (*Gateway).begin))
+}
+
+// Disk does something to the state that a gateway has on disk: keep (a copy to come back to), old (back to that copy),
+// empty, torn (cut at a byte), spoilt (bytes changed in the middle).
+func (g *Gateway) Disk(what string) error {
+	g.lab.Say("%s's disk: %s", g.Name, what)
+	path := filepath.Join(g.disk(), disk)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	g.lab.mu.Lock()
+	at := g.lab.rng.IntN(len(text))
+	g.lab.mu.Unlock()
+	switch what {
+	case "keep":
+		return os.WriteFile(path+".kept", text, 0o600)
+	case "old":
+		return os.Rename(path+".kept", path)
+	case "empty":
+		return os.Remove(path)
+	case "torn":
+		return os.Truncate(path, int64(at))
+	case "spoilt":
+		for i := at; i < min(len(text), at+4096); i++ {
+			text[i] ^= 0x5a
+		}
+		return os.WriteFile(path, text, 0o600)
+	}
+	return fmt.Errorf("lab: nothing known as %q can be done to a disk", what)
+}
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -10,6 +10,7 @@
 	"os"
 	"strconv"
 
+	"quillrail/internal/fleet"
 	"quillrail/internal/lifecycle/settings"
 	"quillrail/internal/wire/bulletin"
 	"quillrail/internal/wire/opfront"
@@ -30,6 +31,7 @@
 	Known    []bulletin.Event
 	Site     *settings.Site
 	Side     *Side
+	Fleet    *fleet.Settings // nil or not enabled: this gateway knows of no other
 }
 
 // clients is the number of clients' connections that are held: the third that the platform allows them, and a
@@ -59,13 +61,17 @@
 	Settings json.RawMessage `json:"settings"`
 }
 
-// FromEnv reads the configuration that the platform names in the environment, and the file of the MQTT front.
-func FromEnv(side string) (*Config, error) {
+// FromEnv reads the configuration that the platform names in the environment, the file of the MQTT front and that of the
+// fleet.
+func FromEnv(side, peers string) (*Config, error) {
 	c, err := nodeConfig()
 	if err != nil {
 		return nil, err
 	}
-	c.Side, err = ReadSide(side)
+	if c.Side, err = ReadSide(side); err != nil {
+		return nil, err
+	}
+	c.Fleet, err = fleet.Read(peers)
 	return c, err
 }
 
--- /dev/null
+++ b/internal/lifecycle/fleet.go
@@ -0,0 +1,154 @@
+package lifecycle
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"quillrail/decide"
+	"quillrail/internal/core"
+	"quillrail/internal/fleet"
+	"quillrail/internal/fleet/recover"
+	"quillrail/internal/lifecycle/handover"
+	"quillrail/internal/roster"
+	"quillrail/internal/wire/bulletin"
+)
+
+// peers is what the fleet's node sees of the gateway.
+type peers Gateway
+
+// comeBack makes the node. Where this process takes over from one that serves, that one still has the gateway's place in
+// the fleet and its file: the node starts once it has ended, and nothing has to be recovered.
+func (g *Gateway) comeBack(c *Config, state handover.State) error {
+	if c.Fleet == nil || !c.Fleet.Enabled {
+		return nil
+	}
+	s, d := *c.Fleet, c.Site.Decide
+	s.ColdFrom, s.ColdFor = d.ColdFrom, d.ColdFor
+	var worth []float64
+	for _, k := range d.Classes {
+		worth = append(worth, k.Worth)
+	}
+	lim := recover.Limits{Classes: len(d.Classes), Tenants: len(d.Tenants), KeepAlive: d.KeepAlive}
+	g.node = fleet.New(g.loop, (*peers)(g), &s, c.Name, d.Zone, lim, worth, g.log.Named("fleet"))
+	g.left = state.Roster
+	return nil
+}
+
+// Begin builds the gateway, unless it serves already.
+func (p *peers) Begin(b fleet.Begin) error {
+	g := (*Gateway)(p)
+	for _, ban := range g.left.Bans { // of a state file from before the fleet kept its own
+		b.Roster.Bans = append(b.Roster.Bans, ban)
+	}
+	if g.core != nil {
+		for _, ban := range b.Roster.Bans {
+			g.core.Adopt(ban)
+		}
+		return nil
+	}
+	c := *g.conf
+	if b.List != nil {
+		c.Known, c.Last = []bulletin.Event{{No: b.Event, Whole: true, Members: b.List}}, b.Event
+	}
+	if err := g.build(&c, handover.State{Roster: b.Roster, Module: b.Module}); err != nil {
+		return err
+	}
+	if m := g.core.Remember(); len(b.Stands) > 0 {
+		since := map[string]time.Duration{}
+		for _, e := range c.Known {
+			for _, w := range e.Members {
+				since[w.Name] = w.Since
+			}
+		}
+		for _, s := range b.Stands {
+			m.Stand(s.Function, s.Worker, since[s.Worker], s.At)
+		}
+		if err := g.core.Recall(m); err != nil {
+			g.log.Warn("copies that others have found are not known here", zap.Error(err))
+		}
+	}
+	g.follow()
+	return nil
+}
+
+// Serve takes clients.
+func (p *peers) Serve() {
+	if g := (*Gateway)(p); !g.front.Ready() {
+		g.open()
+	}
+}
+
+func (p *peers) Remember() *decide.Memory { return p.core.Remember() }
+func (p *peers) Saved() roster.Saved      { return p.core.Saved() }
+
+// Event is the last event of the list.
+func (p *peers) Event() uint64 {
+	if p.feed == nil {
+		return p.conf.Last
+	}
+	return p.feed.Last()
+}
+
+// Ban and CallBack carry out what an operator has said at another gateway.
+func (p *peers) Ban(b roster.Ban) { p.core.Adopt(b); p.keep() }
+func (p *peers) CallBack(id string) {
+	if p.core.Enable(id) == nil {
+		p.keep()
+	}
+}
+
+func (p *peers) keep() {
+	if p.up != nil && p.up.saver != nil {
+		p.up.save()
+	}
+}
+
+// Hold leaves workers alone that others know to drain.
+func (p *peers) Hold(ids map[string]bool) { p.core.Hold(ids) }
+
+// Vouch has cold workers judged by the rate that was served before.
+func (p *peers) Vouch(perSec float64) { p.core.Vouch(perSec) }
+
+// gate is what fronts give their calls to while the gateway comes back.
+type gate struct {
+	*core.Core
+	node *fleet.Node
+}
+
+// Take refuses a call that is not admitted yet; nothing has run.
+func (t *gate) Take(call core.Call) core.Ref {
+	if ok, pause := t.node.Admit(call.Class, call.Function); !ok {
+		t.Count(call.Class, "refused")
+		call.Reply.Refused(pause)
+		return 0
+	}
+	return t.Core.Take(call)
+}
+
+// phase is how far the gateway has come back, for those who ask whether it is ready.
+func (g *Gateway) phase() error {
+	if g.node == nil {
+		return errNotReady
+	}
+	phase, _, without := g.node.Phase()
+	if len(without) > 0 {
+		phase += ", without " + strings.Join(without, ", ")
+	}
+	return fmt.Errorf("not ready: %s", phase)
+}
+
+// fleetStat words the fleet's figures.
+func (g *Gateway) fleetStat(gauge func(string, int)) {
+	f := g.node.Figures()
+	gauge("fleet.gateways", f.Gateways)
+	gauge("fleet.phase", f.Phase)
+	gauge("fleet.poorer", f.Poorer)
+	gauge("fleet.held", f.Held)
+	gauge("fleet.untold", f.Untold)
+	gauge("fleet.saved", int(f.Saved))
+	gauge("fleet.save_errors", int(f.Lost))
+	gauge("fleet.save_stalled_ms", f.StalledMs)
+}
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -46,7 +46,7 @@
 			}
 		}
 		t.Setenv("NODE_CONFIG", path)
-		_, err := FromEnv(side)
+		_, err := FromEnv(side, "none")
 		return err
 	}
 	if err := read(good, "enabled = false"); err != nil {
@@ -73,7 +73,7 @@
 		}
 	}
 	t.Setenv("NODE_CONFIG", filepath.Join(dir, "none"))
-	if _, err := FromEnv(side); err == nil {
+	if _, err := FromEnv(side, "none"); err == nil {
 		t.Error("a file that does not exist was read")
 	}
 }
@@ -280,7 +280,7 @@
 	}
 	l := mqtt.NewLink(w.Loop, w, mqtt.Options{Broker: "b"}, "r", []mqtt.Worker{{Name: "mqtt-1", Topic: "t", StatusTopic: "s"}},
 		1, tell, w.Log())
-	f := &fleet{Pool: workerlink.New(w.Loop, w, site, 9, w.Log()), mqtt: l}
+	f := &bothKinds{Pool: workerlink.New(w.Loop, w, site, 9, w.Log()), mqtt: l}
 	w.Listen("b", func(c *wiretest.Conn) sock.Handler {
 		c.Write(mqtt.Append(nil, mqtt.Connack, 0, []byte{0, 0, 0}))
 		c.Write(mqtt.AppendPublish(nil, &mqtt.Message{Topic: "s", Payload: []byte("ready")}, 0, 1))
--- a/internal/lifecycle/operator.go
+++ b/internal/lifecycle/operator.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"go.uber.org/zap"
+
+	"quillrail/internal/core"
 )
 
 var (
@@ -22,7 +24,7 @@
 	case d.term:
 		return errEnding
 	case !d.front.Ready():
-		return errNotReady
+		return (*Gateway)(d).phase()
 	}
 	return nil
 }
@@ -30,7 +32,10 @@
 // Stat words the figures in the form of statsd.
 func (d *desk) Stat() string {
 	var b strings.Builder
-	f := d.core.Figures()
+	var f core.Figures
+	if d.core != nil {
+		f = d.core.Figures()
+	}
 	count := func(name string, n uint64) { fmt.Fprintf(&b, "svc.%s:%d|c\n", name, n) }
 	gauge := func(name string, n int) { fmt.Fprintf(&b, "svc.%s:%d|g\n", name, n) }
 	for i, c := range f.Classes {
@@ -45,19 +50,30 @@
 	gauge("pool_ejected", f.PoolEjected)
 	count("config_applied", d.applied)
 	count("config_rejected", d.rejected)
+	if d.node != nil {
+		(*Gateway)(d).fleetStat(gauge)
+	}
 	return b.String()
 }
 
 // Disable leaves a worker out, here and at the gateway's other process if there is one.
-func (d *desk) Disable(id string) error { return d.changed(id, d.core.Disable(id)) }
+func (d *desk) Disable(id string) error { return d.change(id, (*core.Core).Disable) }
 
 // Enable uses it again.
-func (d *desk) Enable(id string) error { return d.changed(id, d.core.Enable(id)) }
+func (d *desk) Enable(id string) error { return d.change(id, (*core.Core).Enable) }
 
-func (d *desk) changed(id string, err error) error {
+func (d *desk) change(id string, do func(*core.Core, string) error) error {
+	if d.core == nil {
+		return (*Gateway)(d).phase()
+	}
+	err := do(d.core, id)
 	if err == nil && d.up != nil {
 		d.up.changed(id)
 	}
+	if err == nil && d.node != nil {
+		ban, banned := d.core.Banned(id)
+		d.node.Changed(id, banned, ban.Since)
+	}
 	return err
 }
 
@@ -67,7 +83,11 @@
 	if d.calls != nil {
 		d.calls.Drain()
 	}
-	d.log.Info("clients are sent away", zap.Int("open", d.core.Open()), zap.Int("clients", d.front.Conns()))
+	open := 0
+	if d.core != nil {
+		open = d.core.Open()
+	}
+	d.log.Info("clients are sent away", zap.Int("open", open), zap.Int("clients", d.front.Conns()))
 	return nil
 }
 
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -13,7 +13,9 @@
 	"go.uber.org/zap"
 
 	"quillrail/internal/core"
+	"quillrail/internal/fleet"
 	"quillrail/internal/lifecycle/handover"
+	"quillrail/internal/roster"
 	"quillrail/internal/wire/bulletin"
 	"quillrail/internal/wire/httpfront"
 	"quillrail/internal/wire/ipfix"
@@ -38,6 +40,7 @@
 type Gateway struct {
 	loop    *core.Loop
 	core    *core.Core
+	taker   httpfront.Taker // the core, or what stands before it
 	net     *sock.Net
 	front   *httpfront.Front
 	pool    *workerlink.Pool
@@ -47,11 +50,17 @@
 	log     *zap.Logger
 	feed    *bulletin.Feed
 	conf    *Config
-	door    *sock.Net // nil where operators have none
-	up      *upgrade  // nil where no new process can take over
+	node    *fleet.Node  // nil where the gateway is of no fleet
+	left    roster.Saved // what a state file held at the start, for the node
+	fresh   bool         // the node brings the gateway up
+	door    *sock.Net    // nil where operators have none
+	up      *upgrade     // nil where no new process can take over
 	term    bool
 	patient bool // SIGTERM has come, and a successor that has not said that it is ready is waited for
 
+	known []bulletin.Event // the list to begin with, until it is told
+	told  func(whole bool, members []core.Member)
+
 	applied, rejected uint64 // configurations read at SIGHUP
 	done              context.CancelFunc
 }
@@ -80,7 +89,9 @@
 	}()
 	g.loop.Post(func() { g.done = cancel })
 	g.loop.Run(run)
-	log.Info("stopped", zap.Int("open", g.core.Open()))
+	if g.core != nil {
+		log.Info("stopped", zap.Int("open", g.core.Open()))
+	}
 	return nil
 }
 
@@ -111,20 +122,39 @@
 		}
 		log.Info("operators are heard", zap.String("at", g.door.Addr()))
 	}
+	if err := g.comeBack(c, state); err != nil {
+		g.net.Stop()
+		return nil, err
+	}
+	if g.fresh = g.node != nil && (g.up == nil || g.up.from == nil); g.fresh {
+		loop.Post(func() { g.node.Start(false) })
+		return g, nil
+	}
 	if err := g.build(c, state); err != nil {
 		g.net.Stop()
 		return nil, err
 	}
+	loop.Post(func() {
+		g.follow()
+		g.open()
+	})
 	return g, nil
 }
 
-// build makes the parts behind the front and has the first turn start them.
+// build makes the parts behind the front.
 func (g *Gateway) build(c *Config, state handover.State) (err error) {
 	loop, net, log := g.loop, g.net, g.log
 	var observe core.Observer
+	if g.fresh {
+		observe = g.node.Observe
+	}
 	if c.Side.Export.Enabled {
 		g.flows = ipfix.New(loop, net, c.Side.exportOptions(c.Site), log.Named("ipfix"))
-		observe = g.flows.Observe
+		if observe == nil {
+			observe = g.flows.Observe
+		} else {
+			observe = func(r core.Record) { g.flows.Observe(r); g.node.Observe(r) }
+		}
 	}
 	if len(c.Site.Unknown) > 0 {
 		log.Warn("settings hold what is not understood", zap.Strings("places", c.Site.Unknown))
@@ -139,7 +169,7 @@
 			return err
 		}
 		g.link = mqtt.NewLink(loop, net, opt, replies, list, c.Seed, tell, log.Named("mqtt.workers"))
-		f := &fleet{Pool: g.pool, mqtt: g.link}
+		f := &bothKinds{Pool: g.pool, mqtt: g.link}
 		workers, told = f, f.bulletin(tell)
 	}
 	if g.core, err = core.New(loop, c.Site.Decide, c.Seed, workers, observe, log.Named("core")); err != nil {
@@ -155,31 +185,50 @@
 	if g.link != nil {
 		g.link.Serve(g.core)
 	}
+	g.taker = g.core
+	if g.fresh {
+		g.taker = &gate{g.core, g.node}
+	}
 	if c.Side.Enabled && c.Side.Calls.Broker != "" {
 		opt, keep := c.Side.callOptions(c.Name)
-		g.calls = mqtt.NewFront(loop, net, g.core, c.Site, opt, keep, c.Seed, observe, log.Named("mqtt.calls"))
+		g.calls = mqtt.NewFront(loop, net, g.taker, c.Site, opt, keep, c.Seed, observe, log.Named("mqtt.calls"))
+	}
+	if g.node != nil {
+		inner := told
+		told = func(whole bool, members []core.Member) { inner(whole, members); g.node.Told(whole, members) }
 	}
 	g.feed = bulletin.NewFeed(loop, net, c.Bulletin, c.Site, c.Last, told, log.Named("bulletin"))
-	loop.Post(func() {
-		for _, e := range c.Known {
-			told(e.Whole, e.Members)
-		}
-		g.feed.Connect()
-		if g.flows != nil {
-			g.flows.Start()
-		}
-		if g.up == nil || g.up.from == nil {
-			g.connectBrokers()
-		}
-		g.front.Serve(g.core)
-		log.Info("ready", zap.String("listen", net.Addr()), zap.Uint64("event", c.Last))
-		if g.up != nil {
-			g.up.begin()
-		}
-	})
+	if g.node != nil {
+		g.feed.Heard = g.node.Current
+	}
+	g.known, g.told = c.Known, told
 	return nil
 }
 
+// follow begins to follow the list.
+func (g *Gateway) follow() {
+	for _, e := range g.known {
+		g.told(e.Whole, e.Members)
+	}
+	g.known = nil
+	g.feed.Connect()
+	if g.flows != nil {
+		g.flows.Start()
+	}
+}
+
+// open takes clients.
+func (g *Gateway) open() {
+	if g.up == nil || g.up.from == nil {
+		g.connectBrokers()
+	}
+	g.front.Serve(g.taker)
+	g.log.Info("ready", zap.String("listen", g.net.Addr()), zap.Uint64("event", g.feed.Last()))
+	if g.up != nil {
+		g.up.begin()
+	}
+}
+
 // connectBrokers begins the sessions with brokers. Two processes of a gateway have the same client id, and a broker
 // would end the session of one for the other's: a new process waits for the old one's end.
 func (g *Gateway) connectBrokers() {
@@ -194,6 +243,9 @@
 // reload is what SIGHUP does: the bulletin is followed at the address that the configuration names now, and all
 // else goes on. A configuration that can't be used is logged, and the old one stays.
 func (g *Gateway) reload(c *Config, err error) {
+	if g.feed == nil && err == nil {
+		err = errNotReady
+	}
 	if err != nil {
 		g.rejected++
 		g.log.Error("configuration not reloaded", zap.Error(err))
@@ -230,6 +282,14 @@
 		return
 	}
 	g.term = true
+	if g.core == nil { // it has not come so far as to serve anybody
+		g.log.Info("ending before the first call")
+		g.stop()
+		return
+	}
+	if g.node != nil {
+		g.node.Drain()
+	}
 	handed := g.up != nil && g.up.toReady
 	g.log.Info("draining", zap.Int("open", g.core.Open()), zap.Int("clients", g.front.Conns()), zap.Bool("handed", handed))
 	if handed { // what waits to be accepted and all that comes is the new process's
@@ -278,7 +338,9 @@
 
 // stop ends the sessions that should not just break off, and the loop. What came in at the last is failed.
 func (g *Gateway) stop() {
-	g.core.FailAll()
+	if g.core != nil {
+		g.core.FailAll()
+	}
 	if g.calls != nil {
 		g.calls.Stop()
 	}
@@ -291,5 +353,9 @@
 	if g.up != nil {
 		g.up.end()
 	}
+	if g.node != nil {
+		g.node.Stop(g.done)
+		return
+	}
 	g.done()
 }
--- a/internal/lifecycle/side.go
+++ b/internal/lifecycle/side.go
@@ -164,38 +164,38 @@
 		Tenants: site.Tenants}
 }
 
-// fleet is the workers of both kinds. Those of MQTT have names of their own, and are added to every whole list
+// bothKinds is the workers of both kinds. Those of MQTT have names of their own, and are added to every whole list
 // of the bulletin, which knows nothing of them.
-type fleet struct {
+type bothKinds struct {
 	*workerlink.Pool
 	mqtt *mqtt.Link
 }
 
-func (f *fleet) link(host string) core.Workers {
+func (f *bothKinds) link(host string) core.Workers {
 	if strings.HasPrefix(host, mqtt.Prefix) {
 		return f.mqtt
 	}
 	return f.Pool
 }
 
-func (f *fleet) Send(a core.Attempt)              { f.link(a.Host).Send(a) }
-func (f *fleet) Cancel(host string, ref core.Ref) { f.link(host).Cancel(host, ref) }
-func (f *fleet) Probe(ref core.Ref, host string)  { f.link(host).Probe(ref, host) }
-func (f *fleet) Forget(host string, ref core.Ref) { f.link(host).Forget(host, ref) }
-func (f *fleet) Unload(host, function string)     { f.link(host).Unload(host, function) }
-func (f *fleet) Release(host string)              { f.link(host).Release(host) }
-func (f *fleet) Load(ref core.Ref, host, function string, copies int) {
+func (f *bothKinds) Send(a core.Attempt)              { f.link(a.Host).Send(a) }
+func (f *bothKinds) Cancel(host string, ref core.Ref) { f.link(host).Cancel(host, ref) }
+func (f *bothKinds) Probe(ref core.Ref, host string)  { f.link(host).Probe(ref, host) }
+func (f *bothKinds) Forget(host string, ref core.Ref) { f.link(host).Forget(host, ref) }
+func (f *bothKinds) Unload(host, function string)     { f.link(host).Unload(host, function) }
+func (f *bothKinds) Release(host string)              { f.link(host).Release(host) }
+func (f *bothKinds) Load(ref core.Ref, host, function string, copies int) {
 	f.link(host).Load(ref, host, function, copies)
 }
 
-func (f *fleet) List(whole bool, members []core.Member) {
+func (f *bothKinds) List(whole bool, members []core.Member) {
 	f.Pool.List(whole, slices.DeleteFunc(slices.Clone(members), func(m core.Member) bool {
 		return strings.HasPrefix(m.Name, mqtt.Prefix)
 	}))
 }
 
 // bulletin passes on what the bulletin tells.
-func (f *fleet) bulletin(tell func(bool, []core.Member)) func(bool, []core.Member) {
+func (f *bothKinds) bulletin(tell func(bool, []core.Member)) func(bool, []core.Member) {
 	return func(whole bool, members []core.Member) {
 		if whole {
 			members = append(slices.Clip(members), f.mqtt.Members()...)
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -183,6 +183,9 @@
 		case u.from:
 			u.from = nil
 			u.g.log.Info("the old process has ended")
+			if u.g.node != nil && !u.g.term {
+				u.g.node.Start(true)
+			}
 			u.g.connectBrokers()
 		case u.to:
 			u.to, u.toReady = nil, false
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -26,6 +26,7 @@
 type Roster struct {
 	listed map[string]decide.Host
 	bans   map[string]time.Duration // by the worker's start as it was listed when the ban was laid, and
+	held   map[string]bool          // draining by a newer list than ours, as another gateway says
 	cold   map[string]assumed       // what is thought of those that came back without a word of their start
 }
 
@@ -67,7 +68,7 @@
 	if a, ok := r.cold[h.Name]; ok && a.listed == h.Since {
 		h.Since = max(h.Since, a.since)
 	}
-	if _, banned := r.bans[h.Name]; banned && h.State == decide.Ready {
+	if _, banned := r.bans[h.Name]; (banned || r.held[h.Name]) && h.State == decide.Ready {
 		h.State = decide.Draining
 	}
 	return h
@@ -106,6 +107,19 @@
 	return r.change(id), nil
 }
 
+// Hold leaves workers alone that another gateway knows to drain, in place of those that were held before.
+func (r *Roster) Hold(ids map[string]bool) decide.List {
+	before := r.held
+	r.held = ids
+	var ev decide.List
+	for _, id := range r.Names() {
+		if before[id] != ids[id] {
+			ev.Hosts = append(ev.Hosts, r.effective(r.listed[id]))
+		}
+	}
+	return ev
+}
+
 // change is the news of one worker; none while it is not listed.
 func (r *Roster) change(id string) decide.List {
 	h, ok := r.listed[id]
--- a/internal/wire/bulletin/feed.go
+++ b/internal/wire/bulletin/feed.go
@@ -30,6 +30,9 @@
 	tell func(whole bool, members []core.Member)
 	log  *zap.Logger
 
+	// Heard, if set, is called whenever the bulletin has spoken, after what it said was told.
+	Heard func()
+
 	last    uint64
 	try     uint64 // counts connections, against late callbacks
 	conn    sock.Conn
@@ -122,6 +125,8 @@
 	}
 	if err != nil {
 		f.fail(try, err)
+	} else if len(got) > 0 && f.Heard != nil {
+		f.Heard()
 	}
 }
 
