--- a/cmd/quillrail-lab/main.go
+++ b/cmd/quillrail-lab/main.go
@@ -36,6 +36,7 @@
 				Flags: []cli.Flag{program,
 					&cli.IntFlag{Name: "gateways", Value: d.Gateways, Usage: "1 to 250"},
 					&cli.IntFlag{Name: "workers", Value: d.Workers, Usage: "1 to 250"},
+					&cli.BoolFlag{Name: "fleet", Usage: "gateways know each other and keep their state on disk"},
 					&cli.IntFlag{Name: "halls", Value: d.Halls, Usage: "1 to 8"},
 				},
 				Action: up,
@@ -94,7 +95,7 @@
 func up(ctx context.Context, c *cli.Command) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	o := lab.Options{Gateways: c.Int("gateways"), Workers: c.Int("workers"), Halls: c.Int("halls"), Seed: uint64(time.Now().UnixNano())}
+	o := lab.Options{Gateways: c.Int("gateways"), Workers: c.Int("workers"), Halls: c.Int("halls"), Fleet: c.Bool("fleet"), Seed: uint64(time.Now().UnixNano())}
 	return with(o, c, func(l *lab.Lab) error {
 		out := c.Root().Writer
 		for _, g := range l.Gateways {
--- a/cmd/quillrail-lab/run.go
+++ b/cmd/quillrail-lab/run.go
@@ -27,6 +27,9 @@
 	Workers  int     `toml:"workers"`
 	Halls    int     `toml:"halls"`
 	Seed     uint64  `toml:"seed"`
+	Fleet    bool    `toml:"fleet"`    // gateways know each other and keep their state on disk
+	StoreAt  int     `toml:"store_at"` // loads at once that push the store over, 0 for never
+	ColdS    float64 `toml:"cold_s"`   // a worker that starts is warm after so long
 	Load     struct {
 		Rate      float64 `toml:"rate"`
 		Functions int     `toml:"functions"`
@@ -72,7 +75,8 @@
 		return err
 	}
 	out := c.Root().Writer
-	o := lab.Options{Gateways: e.Gateways, Workers: e.Workers, Halls: e.Halls, Seed: e.Seed, Log: out}
+	o := lab.Options{Gateways: e.Gateways, Workers: e.Workers, Halls: e.Halls, Seed: e.Seed, Log: out, Fleet: e.Fleet, StoreAt: e.StoreAt,
+		ColdFor: time.Duration(e.ColdS * float64(time.Second))}
 	return with(o, c, func(l *lab.Lab) error {
 		t := l.Start(lab.Load{Rate: e.Load.Rate, Functions: e.Load.Functions, Wait: time.Duration(e.Load.WaitMs) * time.Millisecond,
 			Unsafe: e.Load.Unsafe, Keyed: e.Load.Keyed, Tries: e.Load.Tries})
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"flag"
 	"net"
 	"slices"
 	"sync"
@@ -11,6 +12,12 @@
 	"pgregory.net/rapid"
 )
 
+// The same steps each time; -rapid.seed on the command line draws others.
+func init() {
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.nofailfile", "true")
+}
+
 func card(name string, n, tag uint64) Card {
 	return Card{Name: name, Life: Life{n, tag}, Major: Major, Minor: Minor}
 }
--- a/internal/fleet/member/transport.go
+++ b/internal/fleet/member/transport.go
@@ -8,6 +8,7 @@
 	"io"
 	"log"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +23,7 @@
 const (
 	maxWord    = 2 << 20 // bytes of what a gateway tells one that asks
 	maxNews    = 1200    // bytes of a piece of news: it has to fit a datagram
+	maxAsked   = 16      // gateways that one asks when it starts
 	maxWaiting = 1024    // pieces of news that wait to be told
 	retryEvery = time.Second
 	leaveLimit = 300 * time.Millisecond
@@ -118,11 +120,14 @@
 	return int(n.Load())
 }
 
-// Seeds are the gateways to ask first, but for this one.
+// Seeds are the gateways to ask first: those that follow this one in the list of them, at most maxAsked, so that in a large
+// fleet that starts at once nobody is asked by all.
 func (t *Transport) Seeds() []string {
+	all := slices.Sorted(slices.Values(t.o.Seeds))
+	at, _ := slices.BinarySearch(all, t.o.Bind)
 	var out []string
-	for _, s := range t.o.Seeds {
-		if s != t.o.Bind {
+	for i := range all {
+		if s := all[(at+i)%len(all)]; s != t.o.Bind && len(out) < maxAsked {
 			out = append(out, s)
 		}
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -334,8 +334,9 @@
 		n.admit.Stands(fn)
 	}
 	if n.saved != nil && n.saved.Module != nil {
+		kept := n.kept()
 		for _, f := range n.saved.Module.Funcs {
-			if slices.ContainsFunc(f.Places, func(p decide.PlaceMemory) bool { return p.Loaded && !n.restarted(p) }) {
+			if slices.ContainsFunc(f.Places, func(p decide.PlaceMemory) bool { return kept[p.Worker] }) {
 				n.admit.Stands(f.Name)
 			}
 		}
@@ -353,10 +354,16 @@
 		zap.Int("gateways", gateways))
 }
 
-// restarted reports whether a worker was started after a copy was last called there.
-func (n *Node) restarted(p decide.PlaceMemory) bool {
-	m, listed := n.members[p.Worker]
-	return !listed || m.Since > p.LastSend
+// kept are the workers that have not been started anew since the state was saved: what was loaded there may stand. Where it
+// does not, the module's bound on loads still holds.
+func (n *Node) kept() map[string]bool {
+	kept := map[string]bool{}
+	for _, h := range n.saved.List {
+		if m, listed := n.members[h.Name]; listed && m.State == decide.Ready && m.Since <= h.Since {
+			kept[h.Name] = true
+		}
+	}
+	return kept
 }
 
 // bear is the part of their capacity that the workers have on average, cold as they are.
--- a/internal/fleet/recover/admit.go
+++ b/internal/fleet/recover/admit.go
@@ -13,8 +13,8 @@
 	stepDown    = 0.8                    // or is not
 	wellPart    = 0.9                    // of what ended in a step was served: up
 	illPart     = 0.6                    // less than this: down
-	beginPart   = 0.5                    // of the former rate is admitted at first, or more if the workers bear it
-	donePart    = 2.0                    // times the former rate: nothing is held back any more
+	beginPart   = 0.5                    // of the former rate is admitted at first,
+	donePart    = 2.0                    // or so many times it where all workers are warm: nothing is held back then
 	burst       = 300 * time.Millisecond // of the rate that may come at once
 	reservePart = 0.5                    // of the burst is kept for the classes worth most
 	loadLimit   = 3 * time.Second        // a load that has shown nothing by then holds its place no longer
@@ -50,7 +50,7 @@
 // NewAdmission begins at now. bear is what part of their capacity the workers have, cold as they are, 0 to 1.
 func NewAdmission(o Share, bear float64, now time.Duration) *Admission {
 	a := &Admission{o: o, at: now, step: now, stands: map[string]bool{}, loading: map[string]time.Duration{}}
-	a.rate = o.Former * max(beginPart, min(1, bear))
+	a.rate = o.Former * max(beginPart, donePart*min(1, bear))
 	order := slices.Clone(o.Worth)
 	slices.SortFunc(order, func(x, y float64) int { return cmp.Compare(y, x) })
 	for _, w := range o.Worth {
@@ -83,10 +83,10 @@
 		return true
 	}
 	if !a.stands[fn] {
+		maps.DeleteFunc(a.loading, func(_ string, at time.Duration) bool { return now-at >= loadLimit })
 		if _, under := a.loading[fn]; under {
 			return true
 		}
-		maps.DeleteFunc(a.loading, func(_ string, at time.Duration) bool { return now-at >= loadLimit })
 		if len(a.loading) >= a.Slots() {
 			a.turned++
 			return false
--- a/internal/fleet/recover/recover_test.go
+++ b/internal/fleet/recover/recover_test.go
@@ -1,6 +1,7 @@
 package recover
 
 import (
+	"flag"
 	"maps"
 	"reflect"
 	"slices"
@@ -12,6 +13,12 @@
 	"quillrail/decide"
 )
 
+// The same steps each time; -rapid.seed on the command line draws others.
+func init() {
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.nofailfile", "true")
+}
+
 type silent struct{}
 
 func (silent) Route(uint64, string, time.Duration) {}
