Wait for what the bulletin tells a new listener, and not for its next beat

Cause: gateways alone killed served nothing for 1 s: the list counted as current at the bulletin's first frame, which is the beat of a second where nothing has happened meanwhile. Change: a connection that has stood for 0.1 s counts as heard, since what was missed comes at once.

--- a/internal/fleettest/power_test.go
+++ b/internal/fleettest/power_test.go
@@ -86,6 +86,11 @@
 		by += fmt.Sprintf(" %s=%v", class, tr.Until(back, former, 0.9, k, comeBackLimit))
 	}
 	n := tr.End()
+	if os.Getenv("QUILLRAIL_FLEET_LOG") != "" {
+		for d := time.Duration(0); d < 2*time.Second; d += 100 * time.Millisecond {
+			t.Logf("%v after: %.2f of the worth is served", d, tr.Worth(back.Add(d), 100*time.Millisecond, -1))
+		}
+	}
 	t.Logf("%s %s: former=%.3f until50=%v until90=%v until99=%v; until90 by class:%s", p.name, baseline, former, until[0.5], until[0.9],
 		until[0.99], by)
 	t.Log(l.Figures(n))
--- a/internal/wire/bulletin/feed.go
+++ b/internal/wire/bulletin/feed.go
@@ -15,6 +15,7 @@
 
 const (
 	connectLimit = 500 * time.Millisecond
+	settled      = 100 * time.Millisecond  // what was missed comes at once; else the next frame may take a second
 	silence      = 2500 * time.Millisecond // frames come each second: past this the connection is dead
 	retryFirst   = 50 * time.Millisecond   // an event counts as told 7 s after it was published, come or not
 	retryMost    = 500 * time.Millisecond
@@ -30,7 +31,8 @@
 	tell func(whole bool, members []core.Member)
 	log  *zap.Logger
 
-	// Heard, if set, is called whenever the bulletin has spoken, after what it said was told.
+	// Heard, if set, is called whenever the bulletin has spoken, after what it said was told; also once a connection has
+	// stood for so long that nothing can have been missed.
 	Heard func()
 
 	last    uint64
@@ -92,6 +94,14 @@
 	f.alive(try)
 	if _, err := s.Write(binary.BigEndian.AppendUint64(nil, f.last)); err != nil {
 		f.fail(try, err)
+		return
+	}
+	if f.Heard != nil {
+		f.loop.After(settled, func() {
+			if try == f.try {
+				f.Heard()
+			}
+		})
 	}
 }
 
