--- a/internal/lab/power.go
+++ b/internal/lab/power.go
@@ -13,8 +13,12 @@
 
 // joinFleet writes the file by which a gateway knows of the others, and its machine's boot.
 func (g *Gateway) joinFleet() error {
+	loads := 16
+	if g.lab.StoreAt > 0 {
+		loads = max(1, g.lab.StoreAt/2)
+	}
 	text := fmt.Sprintf("enabled = true\nfleet = \"lab\"\nbind = %q\ndir = %q\nboot_id = %q\nfirst_loads = %d\nseeds = [", g.peer, g.disk(),
-		g.boot(), max(1, g.lab.StoreAt/2))
+		g.boot(), loads)
 	for _, o := range g.lab.Gateways {
 		text += fmt.Sprintf("%q, ", o.peer)
 	}
