Make one piece of twins in the fleet's parts, and put bans of a state file under its marks

Cause: read again as a whole. The rate of before was reckoned a second time with the module's 4 s written out; three pieces of input were decoded and checked each in its own way; the store's commit mixed what can't be encoded with what can't be written, and wrote good entries twice then; the lab played a loss of power beside its table of steps; the same filter of drains stood in two places; names, limits and an error were there for nobody. Bans of the gateway's state file were laid past the fleet's marks, so that one lifted at another gateway meanwhile came back: they are joined like any from before the fleet now. That last one is the only change of behaviour, and has no test of its own yet. Change: Memory.Rate, decode, Agreed.Held prunes, store.File, steps take the lab; the verdicts' table says a reason once.

--- a/decide/memory.go
+++ b/decide/memory.go
@@ -103,6 +103,9 @@
 	return m
 }
 
+// Rate is how many calls a second were served of late.
+func (m *Memory) Rate(now time.Duration) float64 { return fade(m.GoodRate, now-m.GoodAt, lately) }
+
 // Vouch has the rate of calls served count as at least perSec from now on: what a gateway that comes back is known to have
 // served, by which it judges what cold workers bear. It fades like any rate. At most so many loads of its own are under way
 // until it is told otherwise, 0 for any number.
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"fmt"
 	"maps"
-	"slices"
 	"time"
 )
 
@@ -200,12 +199,3 @@
 	}
 	return n
 }
-
-// Others are what is known of the others, by name.
-func (v *View) Others() []Event {
-	out := make([]Event, 0, len(v.others))
-	for _, name := range slices.Sorted(maps.Keys(v.others)) {
-		out = append(out, v.others[name])
-	}
-	return out
-}
--- a/internal/fleet/member/transport.go
+++ b/internal/fleet/member/transport.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/sha256"
-	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -343,6 +342,3 @@
 }
 
 var _ io.Writer = (*lines)(nil)
-
-// ErrSuperseded says that a later life of this gateway's name is there.
-var ErrSuperseded = errors.New("member: a later process has this gateway's name")
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -75,7 +74,8 @@
 	name string
 	hall int
 	lim  recover.Limits
-	rank []float64 // worth by class
+	rank []float64    // worth by class
+	left []roster.Ban // of the gateway's state file
 	log  *zap.Logger
 	boot func() (boot string, up time.Duration)
 
@@ -104,9 +104,11 @@
 	late    int // functions and workers that were not told for want of room
 }
 
-// New returns a node that has not started. rank is the worth of each class.
-func New(loop *core.Loop, gw Gateway, set *Settings, name string, hall int, lim recover.Limits, rank []float64, log *zap.Logger) *Node {
-	return &Node{loop: loop, gw: gw, set: set, name: name, hall: hall, lim: lim, rank: rank, log: log, boot: bootOf(set.BootID),
+// New returns a node that has not started. rank is the worth of each class; left are bans that
+// the gateway knows from elsewhere, and of which a word of the fleet counts more.
+func New(loop *core.Loop, gw Gateway, set *Settings, name string, hall int, lim recover.Limits, rank []float64,
+	left []roster.Ban, log *zap.Logger) *Node {
+	return &Node{loop: loop, gw: gw, set: set, name: name, hall: hall, lim: lim, rank: rank, left: left, log: log, boot: bootOf(set.BootID),
 		course: recover.NewCourse(loop.Now()), marks: recover.Marks{}, agreed: recover.NewAgreed(), members: map[string]core.Member{}, held: map[string]uint64{}}
 }
 
@@ -143,6 +145,14 @@
 	keyState = "state"
 )
 
+// decode reads what is on disk or came over the net, and refuses what can't be.
+func decode(b []byte, v interface{ Check() error }) error {
+	if err := msgpack.Unmarshal(b, v); err != nil {
+		return err
+	}
+	return v.Check()
+}
+
 // readState opens the store, and has the process's own life written before anybody hears of it.
 func readState(dir string, clock time.Duration) (r result) {
 	r.db, r.found, r.err = store.Open(dir)
@@ -154,11 +164,7 @@
 	}
 	if b, ok := r.found.Entries[keyState]; ok {
 		s := &recover.Saved{}
-		err := msgpack.Unmarshal(b, s)
-		if err == nil {
-			err = s.Check()
-		}
-		if err != nil {
+		if err := decode(b, s); err != nil {
 			r.found.Refused = append(r.found.Refused, fmt.Sprintf("entry %s: %v", keyState, err))
 		} else {
 			r.saved = s
@@ -265,7 +271,7 @@
 		}
 	}
 	n.marks.Join(n.agreed.Marks)
-	for _, ban := range b.Roster.Bans { // from before there was a fleet
+	for _, ban := range slices.Concat(b.Roster.Bans, n.left) { // from before there was a fleet
 		if _, known := n.marks[ban.ID]; !known {
 			n.marks.Say(ban.ID, true, ban.Since)
 		}
@@ -324,7 +330,7 @@
 
 // open begins to admit clients.
 func (n *Node) open() {
-	gateways := max(n.view.Alive(), 1)
+	gateways := n.view.Alive()
 	if n.saved != nil {
 		gateways = max(gateways, n.saved.Alive)
 	}
@@ -427,7 +433,7 @@
 		}
 	}
 	if n.admit != nil && n.course.Phase() == recover.Admitting {
-		n.admit.Fleet(max(1, n.view.Alive()))
+		n.admit.Fleet(n.view.Alive())
 		n.gw.Vouch(n.former, n.admit.Slots())
 		if n.admit.Done(now) {
 			n.pass(recover.Admitting, "")
@@ -494,8 +500,8 @@
 	if n.course.Phase() < recover.Admitting {
 		return
 	}
-	if rate := rateOf(m, n.loop.Now()); n.course.Phase() == recover.Full {
-		n.former = max(rate, n.former*formerFade)
+	if n.course.Phase() == recover.Full {
+		n.former = max(m.Rate(n.loop.Now()), n.former*formerFade)
 	}
 	if n.db == nil {
 		return
@@ -508,14 +514,6 @@
 	n.db.Put(keyState, func() ([]byte, error) { return msgpack.Marshal(s) })
 }
 
-// rateOf is how many calls a second were served of late.
-func rateOf(m *decide.Memory, now time.Duration) float64 {
-	if m == nil {
-		return 0
-	}
-	return m.GoodRate * math.Exp(-(now-m.GoodAt).Seconds()/4)
-}
-
 // standing are the copies that a memory knows to have been found.
 func standing(m *decide.Memory) (out []Stand) {
 	for _, f := range m.Funcs {
@@ -563,6 +561,14 @@
 	Stands []string // functions that were found
 }
 
+// Check reports what no news can hold.
+func (x *news) Check() error {
+	if len(x.Stands) > tellMost {
+		return fmt.Errorf("fleet: news of %d functions", len(x.Stands))
+	}
+	return x.Marks.Check()
+}
+
 func (n *Node) say(x news, tell func([]byte) bool) {
 	x.From, x.Life = n.name, n.life
 	b, err := msgpack.Marshal(&x)
@@ -623,9 +629,7 @@
 	if !n.begun {
 		return
 	}
-	own := n.gw.Event()
-	maps.DeleteFunc(n.agreed.Draining, func(_ string, event uint64) bool { return event <= own })
-	held := n.agreed.Held(own)
+	held := n.agreed.Held(n.gw.Event())
 	if maps.Equal(held, n.held) {
 		return
 	}
@@ -643,11 +647,7 @@
 // heard takes what another gateway knows.
 func (n *Node) heard(b []byte) {
 	var w recover.Word
-	err := msgpack.Unmarshal(b, &w)
-	if err == nil {
-		err = w.Check()
-	}
-	if err != nil {
+	if err := decode(b, &w); err != nil {
 		n.log.Warn("another gateway's word is not understood", zap.Error(err))
 		return
 	}
@@ -667,11 +667,7 @@
 // heardNews takes a piece of news.
 func (n *Node) heardNews(b []byte) {
 	var x news
-	err := msgpack.Unmarshal(b, &x)
-	if err == nil {
-		err = x.Marks.Check()
-	}
-	if err != nil || len(x.Stands) > tellMost {
+	if err := decode(b, &x); err != nil {
 		n.log.Warn("news are not understood", zap.Error(err))
 		return
 	}
@@ -706,8 +702,8 @@
 }
 
 // Phase says how far the gateway has come back, in words, with what it goes on without.
-func (n *Node) Phase() (phase string, full bool, without []string) {
-	return n.course.Phase().String(), n.course.Phase() == recover.Full, n.course.Poorer()
+func (n *Node) Phase() (phase string, without []string) {
+	return n.course.Phase().String(), n.course.Poorer()
 }
 
 // Figures are what operators are shown.
--- a/internal/fleet/recover/recover_test.go
+++ b/internal/fleet/recover/recover_test.go
@@ -64,7 +64,7 @@
 	return m
 }
 
-var limits = Limits{Classes: 1, Tenants: 1, KeepAlive: 10 * time.Second}
+var limits = Limits{Classes: 1, Tenants: 1}
 
 // Whatever was saved and whatever the clock has done since, a new module accepts it, and by the rule: in one boot a step of
 // the wall clock changes nothing but the times' origin; after another boot guards count as used now, and no copy stands.
--- a/internal/fleet/recover/trust.go
+++ b/internal/fleet/recover/trust.go
@@ -1,6 +1,7 @@
 package recover
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -56,32 +57,30 @@
 func Verdicts(aged bool) []Verdict {
 	rule := []struct {
 		kind         Kind
-		known, unkno Trust
-		why, whyNot  string
+		known, other Trust
+		why, whyNot  string // the second only where it differs
 	}{
-		{Incarnations, Kept, Kept, "a number is never used twice", "a number is never used twice"},
-		{Bans, Kept, Kept, "only an operator ends a ban", "only an operator ends a ban"},
-		{List, Doubted, Doubted, "until the bulletin has spoken", "until the bulletin has spoken"},
-		{Drains, Kept, Kept, "a worker that drained is left alone until the list says otherwise",
-			"a worker that drained is left alone until the list says otherwise"},
+		{Incarnations, Kept, Kept, "a number is never used twice", ""},
+		{Bans, Kept, Kept, "only an operator ends a ban", ""},
+		{List, Doubted, Doubted, "until the bulletin has spoken", ""},
+		{Drains, Kept, Kept, "a worker that drained is left alone until the list says otherwise", ""},
 		{ColdMarks, Until, Doubted, "cold for as long as the settings say", "counts as started now"},
 		{ColdSends, Until, Doubted, "count for as long as the settings say", "count as sent now"},
 		{Ration, Until, Doubted, "orders count for their window", "all of it counts as used now"},
 		{Health, Until, Discarded, "set aside until its time", "its time can't be known; a try costs one call"},
-		{Rates, Doubted, Doubted, "as the measure of what the fleet bears, until there is a newer one",
-			"as the measure of what the fleet bears, until there is a newer one"},
+		{Rates, Doubted, Doubted, "as the measure of what the fleet bears, until there is a newer one", ""},
 		{Copies, Until, Doubted, "for as long as an idle copy stands", "a home, but no copy is known to stand"},
-		{Shares, Kept, Discarded, "they only share out", "they only share out"},
-		{Keys, Discarded, Discarded, "not kept on disk; workers drop repeats", "not kept on disk; workers drop repeats"},
-		{InHand, Discarded, Discarded, "not kept on disk; nothing is sent again", "not kept on disk; nothing is sent again"},
+		{Shares, Kept, Discarded, "they only share out", ""},
+		{Keys, Discarded, Discarded, "not kept on disk; workers drop repeats", ""},
+		{InHand, Discarded, Discarded, "not kept on disk; nothing is sent again", ""},
 	}
 	var out []Verdict
 	for _, r := range rule {
-		if aged {
-			out = append(out, Verdict{r.kind, r.known, r.why})
-		} else {
-			out = append(out, Verdict{r.kind, r.unkno, r.whyNot})
+		v := Verdict{r.kind, r.known, r.why}
+		if !aged {
+			v.Trust, v.Why = r.other, cmp.Or(r.whyNot, r.why)
 		}
+		out = append(out, v)
 	}
 	return out
 }
@@ -129,7 +128,6 @@
 // Limits are the settings that trust depends on.
 type Limits struct {
 	Classes, Tenants int
-	KeepAlive        time.Duration // an idle copy stands at least so long
 }
 
 // Trusted makes of a saved state what the gateway begins with at now. The state is changed: each time in it becomes one of
--- a/internal/fleet/recover/words.go
+++ b/internal/fleet/recover/words.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 )
 
@@ -99,13 +100,8 @@
 }
 
 // Held returns the workers that must be left alone until this gateway's own list has come to an event: somebody whose
-// list is newer than ours has them draining.
+// list is newer than ours has them draining. What our own list has come to is forgotten.
 func (a *Agreed) Held(own uint64) map[string]uint64 {
-	held := map[string]uint64{}
-	for id, event := range a.Draining {
-		if event > own {
-			held[id] = event
-		}
-	}
-	return held
+	maps.DeleteFunc(a.Draining, func(_ string, event uint64) bool { return event <= own })
+	return maps.Clone(a.Draining)
 }
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -20,8 +20,10 @@
 	"go.etcd.io/bbolt"
 )
 
+// File is the name of the file in the store's folder.
+const File = "fleet.db"
+
 const (
-	file      = "fleet.db"
 	bucket    = "entries"
 	version   = 1
 	maxValue  = 4 << 20 // bytes of an entry
@@ -77,7 +79,7 @@
 // named in Found, with what was wrong; the store is then empty. An error says that there is no store at all: the folder is
 // missing, read-only or full, or another process has it.
 func Open(dir string) (*Store, Found, error) {
-	path := filepath.Join(dir, file)
+	path := filepath.Join(dir, File)
 	var found Found
 	d, err := openBolt(path)
 	var entries map[string][]byte
@@ -244,8 +246,9 @@
 	}
 }
 
-// commit writes what waits.
-func (s *Store) commit() (err error) {
+// commit writes what waits. What can't be written is tried again, unless something newer has come; what can't be encoded
+// never will be.
+func (s *Store) commit() error {
 	s.mu.Lock()
 	work := s.next
 	s.next = map[string]func() ([]byte, error){}
@@ -253,41 +256,40 @@
 	s.seq += uint64(len(work))
 	s.busy = s.now()
 	s.mu.Unlock()
+	var bad, failed error
 	entries := map[string][]byte{}
 	for _, key := range slices.Sorted(maps.Keys(work)) {
-		value, err2 := work[key]()
-		if err2 == nil && len(value) > maxValue {
-			err2 = fmt.Errorf("entry %s has %d bytes", key, len(value))
+		value, err := work[key]()
+		if err == nil && len(value) > maxValue {
+			err = fmt.Errorf("entry %s has %d bytes", key, len(value))
 		}
-		if err2 != nil { // it will never do
-			err = errors.Join(err, err2)
-			delete(work, key)
+		if err != nil {
+			bad = errors.Join(bad, err)
 			continue
 		}
 		seq++
 		entries[key] = seal(key, seq, value)
 	}
-	bad := err
 	if len(entries) > 0 {
-		err = errors.Join(err, s.d.write(entries))
+		failed = s.d.write(entries)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy = time.Time{}
-	if s.stat.Err = ""; err != nil {
-		s.stat.Err = err.Error()
+	if s.stat.Err = ""; bad != nil || failed != nil {
+		s.stat.Err = errors.Join(bad, failed).Error()
 		s.stat.Lost++
 	}
-	if err == nil || bad != nil && errors.Is(err, bad) && len(entries) == 0 {
+	if failed == nil {
 		s.stat.Saved += uint64(len(entries))
 		return nil
 	}
-	for key, encode := range work { // again, unless something newer has come
+	for key := range entries {
 		if _, newer := s.next[key]; !newer {
-			s.next[key] = encode
+			s.next[key] = work[key]
 		}
 	}
-	return err
+	return failed
 }
 
 // Close writes what waits, if the disk takes it, and closes the file; it waits for at most limit.
--- a/internal/fleet/store/store_test.go
+++ b/internal/fleet/store/store_test.go
@@ -47,7 +47,7 @@
 
 func read(t *testing.T, dir string) []byte {
 	t.Helper()
-	b, err := os.ReadFile(filepath.Join(dir, file))
+	b, err := os.ReadFile(filepath.Join(dir, File))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -57,14 +57,14 @@
 // load opens a file with this text and returns what the store makes of it.
 func load(t *testing.T, dir string, text []byte) (Found, error) {
 	t.Helper()
-	if err := os.WriteFile(filepath.Join(dir, file), text, 0o600); err != nil {
+	if err := os.WriteFile(filepath.Join(dir, File), text, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	s, found, err := Open(dir)
 	if err == nil {
 		s.Close(10 * time.Second)
 	}
-	os.Remove(filepath.Join(dir, file))
+	os.Remove(filepath.Join(dir, File))
 	return found, err
 }
 
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -20,24 +20,24 @@
 // steps are what a Step may ask for, and whether it names a gateway and a worker.
 var steps = map[string]struct {
 	gateway, worker bool
-	do              func(*Gateway, *Worker) error
+	do              func(*Lab, *Gateway, *Worker) error
 }{
-	"kill":      {true, false, func(g *Gateway, _ *Worker) error { g.Kill(); return nil }},
-	"start":     {true, false, func(g *Gateway, _ *Worker) error { return g.Start() }},
-	"pause":     {true, false, func(g *Gateway, _ *Worker) error { g.Pause(); return nil }},
-	"resume":    {true, false, func(g *Gateway, _ *Worker) error { g.Resume(); return nil }},
-	"upgrade":   {true, false, func(g *Gateway, _ *Worker) error { return g.Upgrade() }},
-	"end":       {true, false, func(g *Gateway, _ *Worker) error { return g.Terminate() }},
-	"mute":      {true, false, func(g *Gateway, _ *Worker) error { g.Mute(true); return nil }},
-	"unmute":    {true, false, func(g *Gateway, _ *Worker) error { g.Mute(false); return nil }},
-	"crash":     {false, true, func(_ *Gateway, w *Worker) error { w.Crash(); return nil }},
-	"restart":   {false, true, func(_ *Gateway, w *Worker) error { return w.Restart() }},
-	"drain":     {false, true, func(_ *Gateway, w *Worker) error { w.Drain(); return nil }},
-	"reset":     {true, true, func(g *Gateway, w *Worker) error { g.Link(w.n).Reset(); return nil }},
-	"cut":       {true, true, func(g *Gateway, w *Worker) error { g.Link(w.n).Cut(); return nil }},
-	"power_off": {false, false, nil},
-	"power_on":  {false, false, nil},
-	"heal":      {true, true, func(g *Gateway, w *Worker) error { g.Link(w.n).Heal(); return nil }},
+	"kill":      {true, false, func(_ *Lab, g *Gateway, _ *Worker) error { g.Kill(); return nil }},
+	"start":     {true, false, func(_ *Lab, g *Gateway, _ *Worker) error { return g.Start() }},
+	"pause":     {true, false, func(_ *Lab, g *Gateway, _ *Worker) error { g.Pause(); return nil }},
+	"resume":    {true, false, func(_ *Lab, g *Gateway, _ *Worker) error { g.Resume(); return nil }},
+	"upgrade":   {true, false, func(_ *Lab, g *Gateway, _ *Worker) error { return g.Upgrade() }},
+	"end":       {true, false, func(_ *Lab, g *Gateway, _ *Worker) error { return g.Terminate() }},
+	"mute":      {true, false, func(_ *Lab, g *Gateway, _ *Worker) error { g.Mute(true); return nil }},
+	"unmute":    {true, false, func(_ *Lab, g *Gateway, _ *Worker) error { g.Mute(false); return nil }},
+	"crash":     {false, true, func(_ *Lab, _ *Gateway, w *Worker) error { w.Crash(); return nil }},
+	"restart":   {false, true, func(_ *Lab, _ *Gateway, w *Worker) error { return w.Restart() }},
+	"drain":     {false, true, func(_ *Lab, _ *Gateway, w *Worker) error { w.Drain(); return nil }},
+	"reset":     {true, true, func(_ *Lab, g *Gateway, w *Worker) error { g.Link(w.n).Reset(); return nil }},
+	"cut":       {true, true, func(_ *Lab, g *Gateway, w *Worker) error { g.Link(w.n).Cut(); return nil }},
+	"heal":      {true, true, func(_ *Lab, g *Gateway, w *Worker) error { g.Link(w.n).Heal(); return nil }},
+	"power_off": {false, false, func(l *Lab, _ *Gateway, _ *Worker) error { l.PowerLoss(l.Gateways, l.Workers); return nil }},
+	"power_on":  {false, false, func(l *Lab, _ *Gateway, _ *Worker) error { return l.PowerBack(l.Gateways, l.Workers) }},
 }
 
 // check reports what is wrong with a step.
@@ -70,20 +70,14 @@
 		<-time.After(time.Until(begun.Add(time.Duration(s.At * float64(time.Second)))))
 		var g *Gateway
 		var w *Worker
-		switch k := steps[s.What]; {
-		case s.What == "power_off":
-			l.PowerLoss(l.Gateways, l.Workers)
-		case s.What == "power_on":
-			err = errors.Join(err, l.PowerBack(l.Gateways, l.Workers))
-		default:
-			if k.gateway {
-				g = l.Gateways[s.Gateway-1]
-			}
-			if k.worker {
-				w = l.Workers[s.Worker-1]
-			}
-			err = errors.Join(err, k.do(g, w))
+		k := steps[s.What]
+		if k.gateway {
+			g = l.Gateways[s.Gateway-1]
 		}
+		if k.worker {
+			w = l.Workers[s.Worker-1]
+		}
+		err = errors.Join(err, k.do(l, g, w))
 	}
 	<-time.After(time.Until(begun.Add(length)))
 	return err
--- a/internal/lab/power.go
+++ b/internal/lab/power.go
@@ -7,9 +7,9 @@
 	"path/filepath"
 	"syscall"
 	"time"
-)
 
-const disk = "fleet.db" // the file of a gateway's state
+	kept "quillrail/internal/fleet/store"
+)
 
 // joinFleet writes the file by which a gateway knows of the others, and its machine's boot.
 func (g *Gateway) joinFleet() error {
@@ -60,7 +60,7 @@
 // empty, torn (cut at a byte), spoilt (bytes changed in the middle).
 func (g *Gateway) Disk(what string) error {
 	g.lab.Say("%s's disk: %s", g.Name, what)
-	path := filepath.Join(g.disk(), disk)
+	path := filepath.Join(g.disk(), kept.File)
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return err
--- a/internal/lifecycle/fleet.go
+++ b/internal/lifecycle/fleet.go
@@ -20,10 +20,11 @@
 type peers Gateway
 
 // comeBack makes the node. Where this process takes over from one that serves, that one still has the gateway's place in
-// the fleet and its file: the node starts once it has ended, and nothing has to be recovered.
-func (g *Gateway) comeBack(c *Config, state handover.State) error {
+// the fleet and its file: the node starts once it has ended, and nothing has to be recovered. left are the bans of a state
+// file, from before the fleet kept its own.
+func (g *Gateway) comeBack(c *Config, left []roster.Ban) {
 	if c.Fleet == nil || !c.Fleet.Enabled {
-		return nil
+		return
 	}
 	s, d := *c.Fleet, c.Site.Decide
 	s.ColdFrom, s.ColdFor = d.ColdFrom, d.ColdFor
@@ -31,18 +32,13 @@
 	for _, k := range d.Classes {
 		worth = append(worth, k.Worth)
 	}
-	lim := recover.Limits{Classes: len(d.Classes), Tenants: len(d.Tenants), KeepAlive: d.KeepAlive}
-	g.node = fleet.New(g.loop, (*peers)(g), &s, c.Name, d.Zone, lim, worth, g.log.Named("fleet"))
-	g.left = state.Roster
-	return nil
+	lim := recover.Limits{Classes: len(d.Classes), Tenants: len(d.Tenants)}
+	g.node = fleet.New(g.loop, (*peers)(g), &s, c.Name, d.Zone, lim, worth, left, g.log.Named("fleet"))
 }
 
 // Begin builds the gateway, unless it serves already.
 func (p *peers) Begin(b fleet.Begin) error {
 	g := (*Gateway)(p)
-	for _, ban := range g.left.Bans { // of a state file from before the fleet kept its own
-		b.Roster.Bans = append(b.Roster.Bans, ban)
-	}
 	if g.core != nil {
 		for _, ban := range b.Roster.Bans {
 			g.core.Adopt(ban)
@@ -133,7 +129,7 @@
 	if g.node == nil {
 		return errNotReady
 	}
-	phase, _, without := g.node.Phase()
+	phase, without := g.node.Phase()
 	if len(without) > 0 {
 		phase += ", without " + strings.Join(without, ", ")
 	}
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -15,7 +15,6 @@
 	"quillrail/internal/core"
 	"quillrail/internal/fleet"
 	"quillrail/internal/lifecycle/handover"
-	"quillrail/internal/roster"
 	"quillrail/internal/wire/bulletin"
 	"quillrail/internal/wire/httpfront"
 	"quillrail/internal/wire/ipfix"
@@ -50,11 +49,10 @@
 	log     *zap.Logger
 	feed    *bulletin.Feed
 	conf    *Config
-	node    *fleet.Node  // nil where the gateway is of no fleet
-	left    roster.Saved // what a state file held at the start, for the node
-	fresh   bool         // the node brings the gateway up
-	door    *sock.Net    // nil where operators have none
-	up      *upgrade     // nil where no new process can take over
+	node    *fleet.Node // nil where the gateway is of no fleet
+	fresh   bool        // the node brings the gateway up
+	door    *sock.Net   // nil where operators have none
+	up      *upgrade    // nil where no new process can take over
 	term    bool
 	patient bool // SIGTERM has come, and a successor that has not said that it is ready is waited for
 
@@ -122,10 +120,7 @@
 		}
 		log.Info("operators are heard", zap.String("at", g.door.Addr()))
 	}
-	if err := g.comeBack(c, state); err != nil {
-		g.net.Stop()
-		return nil, err
-	}
+	g.comeBack(c, state.Roster.Bans)
 	if g.fresh = g.node != nil && (g.up == nil || g.up.from == nil); g.fresh {
 		loop.Post(func() { g.node.Start(false) })
 		return g, nil
