End clients' connections with their answers after SIGTERM, so that a busy gateway ends

Cause: clients go on sending on every connection that stays open. end.go's finish waited until nothing was open, which under such load never came: at 3.3 s after SIGTERM whatever was open was failed. Ruled out: the listener (new connections stop after 0.3 s in the rig as on the platform) and the links to workers (answers came in 16 ms at the median). Change: /check says no at SIGTERM; from 0.4 s on, when no new connections come any more, each answer ends its connection. TestPlannedRestart plays it with real processes and fails without the change.

--- a/cmd/drill/wire.go
+++ b/cmd/drill/wire.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"quillrail/decide"
-	"quillrail/internal/lifecycle/settings"
+	"quillrail/internal/settings"
 )
 
 // session is one conversation with the simulator.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -633,7 +633,7 @@
 	}
 }
 
-// larder overload: each load in a full fleet pushed out a copy in use, which then was loaded again elsewhere.
+// In an overload each load in a full fleet pushed out a copy in use, which then was loaded again elsewhere.
 func TestLateFleetGetsFewLoads(t *testing.T) {
 	for late, most := range map[float64]int{0: 8, yieldPart + 0.01: 8 / fewLoads} {
 		f := start(t, site(), 8)
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -118,3 +118,28 @@
 		t.Errorf("requests were lost: %+v\n%q", n, tr.Faults())
 	}
 }
+
+// Each gateway in turn is asked to end and started anew, while clients go on sending on every connection that stays open:
+// every call is answered, and nothing that must not run twice does. A gateway that waited for its clients to leave would
+// have to fail what is open when its time is over.
+func TestPlannedRestart(t *testing.T) {
+	l := start(t, lab.Options{})
+	tr := l.Start(lab.Load{Lines: 3, Functions: 6, Wait: 2 * time.Second, Unsafe: 0.3, Keyed: 0.3})
+	for _, g := range l.Gateways {
+		if !tr.Served(150, eventLimit) {
+			t.Fatalf("the fleet does not serve: %+v\n%q", tr.Totals(), tr.Faults())
+		}
+		if err := g.Terminate(); err != nil {
+			t.Fatalf("%s: %v\n%s", g.Name, err, g.Process().Log())
+		}
+		if !tr.Served(150, eventLimit) {
+			t.Fatalf("the others do not serve: %+v\n%q", tr.Totals(), tr.Faults())
+		}
+		if err := g.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := verdict(t, l, tr); n.Failed+n.Unanswered+n.Unreached > 0 {
+		t.Errorf("calls were lost: %+v\n%q", n, tr.Faults())
+	}
+}
--- /dev/null
+++ b/internal/lab/configure.go
@@ -0,0 +1,76 @@
+package lab
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sys/unix"
+)
+
+// reserve takes an address on loopback for processes that come and go: a socket that is bound and never listens keeps it.
+func (l *Lab) reserve(ip string) (string, error) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return "", err
+	}
+	l.onClose(func() { unix.Close(fd) })
+	addr := [4]byte(net.ParseIP(ip).To4())
+	if err := errors.Join(unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1), unix.Bind(fd, &unix.SockaddrInet4{Addr: addr})); err != nil {
+		return "", err
+	}
+	at, err := unix.Getsockname(fd)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%s:%d", ip, at.(*unix.SockaddrInet4).Port), nil
+}
+
+// configure writes the configuration of a gateway.
+func (l *Lab) configure(g *Gateway) error {
+	var members []any
+	for _, w := range l.Workers {
+		members = append(members, map[string]any{"id": w.Name(), "host_port": g.links[w.n].Addr(), "locality": hall(w.Hall), "flavor": "std",
+			"cell": 0, "phase": "active", "size": 1, "up_since_ms": 0})
+	}
+	var halls []string
+	for i := range l.Halls {
+		halls = append(halls, hall(i))
+	}
+	class := func(name, effect, scope string, worth int) any {
+		return map[string]any{"name": name, "effect": effect, "key-scope": scope, "credit": worth, "promise-s": 0.5,
+			"deadline-s": 2, "late-worth": 0.2, "window-s": keyWindow.Seconds()}
+	}
+	conf := map[string]any{"name": g.Name, "listen": g.Addr, "seed": fmt.Sprintf("%016x", l.Seed+uint64(g.n)+1),
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 512}, "bulletin": g.bulletin.addr,
+		"known": map[string]any{"no": 1, "items": []any{map[string]any{"no": 1, "roster": map[string]any{"revision": 1,
+			"complete": true, "members": members}}}},
+		"settings": map[string]any{"azs": halls, "kinds": []string{"std"}, "balancers": len(l.Gateways) + 1, "slot-no": g.n,
+			"zone": g.Hall, "classes": []any{class("read", "idempotent", "all", 1), class("command", "deduplicated", "zone", 3),
+				class("once", "at_most_once", "all", 5)},
+			"contract": map[string]any{"drain-grace-s": drainGrace.Seconds(), "cold-from": l.ColdFrom, "cold-s": l.ColdFor.Seconds(),
+				"fall-multiple": fallMultiple, "fall-s": fallFor.Seconds()},
+			"customers": []any{map[string]any{"name": "demo", "share": 1}},
+			"family-info": map[string]any{"keep-s": l.KeepAlive.Seconds(), "marks-cold": true, "not-loaded": "load", "orders": true,
+				"free-loads": 4, "load-share": 0.3, "load-period-s": 10, "order-limit-s": 10},
+			"membership-mode": "automatic",
+			"policy-limits": map[string]any{"cancelling": true, "conn-idle-s": 30, "connect-timeout-s": 0.25, "max-retry-after-s": 2,
+				"parallel-tries": true, "probing": true, "retry-after": true, "streams-per-conn": 32, "try-limit": 5},
+			"stats": map[string]any{"how": "inline", "fields": []string{"queue", "inflight", "x1", "x0"}}}}
+	text, err := json.MarshalIndent(conf, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(g.config, text, 0o600)
+}
+
+func hall(i int) string { return fmt.Sprint("hall", i+1) }
+
+// folder makes a folder of the lab's own.
+func (l *Lab) folder(name string) (string, error) {
+	dir := filepath.Join(l.Dir, name)
+	return dir, os.MkdirAll(dir, 0o700)
+}
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -1,25 +1,17 @@
 package lab
 
 import (
-	"bufio"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-const (
-	startLimit = 20 * time.Second // a gateway that does not take calls by then has failed to start
-	logKept    = 400              // lines of a process's log that are kept, for waiting and for telling what went wrong
-)
-
 // Gateway is one gateway of the fleet, by its name and address; processes of it come and go.
 type Gateway struct {
 	Name, Addr string
@@ -32,7 +24,8 @@
 	links      []*Relay // to the workers, by number
 	peer       string   // where other gateways reach it
 	mu         sync.Mutex
-	procs      []*Process // all that were started, the last one in front of clients
+	procs      []*Process   // all that were started, the last one in front of clients
+	ending     atomic.Int64 // when it was asked to end, in Unix ns; 0 if it takes clients
 }
 
 func newGateway(l *Lab, n int) (g *Gateway, err error) {
@@ -80,6 +73,7 @@
 	if _, err := g.Process().Await("ready", startLimit); err != nil {
 		return err
 	}
+	g.ending.Store(0)
 	g.lab.Say("%s takes calls at %s", g.Name, g.Addr)
 	return nil
 }
@@ -104,12 +98,14 @@
 }
 
 // Pause stops the process, which knows nothing of it; Resume lets it go on.
-func (g *Gateway) Pause()  { g.lab.Say("%s is paused", g.Name); g.Process().Signal(syscall.SIGSTOP) }
+func (g *Gateway) Pause() { g.lab.Say("%s is paused", g.Name); g.Process().Signal(syscall.SIGSTOP) }
+
 func (g *Gateway) Resume() { g.lab.Say("%s goes on", g.Name); g.Process().Signal(syscall.SIGCONT) }
 
 // Terminate ends the process with SIGTERM and returns how it exited.
 func (g *Gateway) Terminate() error {
 	g.lab.Say("%s is asked to end", g.Name)
+	g.ending.Store(time.Now().UnixNano())
 	return g.Process().End(syscall.SIGTERM)
 }
 
@@ -146,137 +142,6 @@
 	}
 }
 
-// Process is one process of a gateway.
-type Process struct {
-	Name     string
-	cmd      *exec.Cmd
-	operator string
-	mu       sync.Mutex
-	lines    []map[string]any // of its log, those not awaited yet
-	raw      []string         // the last of it, as written
-	more     chan struct{}
-	over     chan struct{} // closed when it has ended
-	err      error
-}
-
-// start starts a process that is ended with the lab, and when the lab's own process dies.
-func (l *Lab) start(g *Gateway) (*Process, error) {
-	args := append([]string(nil), l.Program[1:]...)
-	if l.Fleet {
-		if err := g.joinFleet(); err != nil {
-			return nil, err
-		}
-		args = append(args, "--fleet", filepath.Join(g.dir, "fleet.toml"))
-	}
-	cmd := exec.Command(l.Program[0], args...)
-	cmd.Dir = g.dir
-	cmd.Env = append(append(os.Environ(), "NODE_CONFIG="+g.config, "TMPDIR="+g.dir,
-		fmt.Sprintf("NODE_OPERATOR=127.77.3.%d:0", g.n+1)), l.Env...)
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	out, in, err := os.Pipe()
-	if err != nil {
-		return nil, err
-	}
-	cmd.Stderr = in
-	err = cmd.Start()
-	in.Close()
-	if err != nil {
-		out.Close()
-		return nil, err
-	}
-	p := &Process{Name: g.Name, cmd: cmd, more: make(chan struct{}), over: make(chan struct{})}
-	go p.read(out)
-	line, err := p.Await("operators are heard", startLimit)
-	if err != nil {
-		p.End(syscall.SIGKILL)
-		return nil, err
-	}
-	p.operator, _ = line["at"].(string)
-	return p, nil
-}
-
-func (p *Process) read(out *os.File) {
-	for in := bufio.NewScanner(out); in.Scan(); {
-		var line map[string]any
-		ok := json.Unmarshal(in.Bytes(), &line) == nil
-		p.mu.Lock()
-		if p.raw = append(p.raw, in.Text()); len(p.raw) > logKept {
-			p.raw = p.raw[1:]
-		}
-		if ok {
-			if p.lines = append(p.lines, line); len(p.lines) > logKept {
-				p.lines = p.lines[1:]
-			}
-		}
-		close(p.more)
-		p.more = make(chan struct{})
-		p.mu.Unlock()
-	}
-	out.Close()
-	p.err = p.cmd.Wait()
-	close(p.over)
-}
-
-// Await waits for a line of the log, each of which is found once.
-func (p *Process) Await(msg string, limit time.Duration) (map[string]any, error) {
-	late := time.After(limit)
-	for {
-		p.mu.Lock()
-		for i, l := range p.lines {
-			if l["msg"] == msg {
-				p.lines = append(p.lines[:i:i], p.lines[i+1:]...)
-				p.mu.Unlock()
-				return l, nil
-			}
-		}
-		more := p.more
-		p.mu.Unlock()
-		select {
-		case <-more:
-		case <-p.over:
-			return nil, fmt.Errorf("%s ended without %q:\n%s", p.Name, msg, p.Log())
-		case <-late:
-			return nil, fmt.Errorf("%s: no %q in %v:\n%s", p.Name, msg, limit, p.Log())
-		}
-	}
-}
-
-// Log is the last of what the process has written.
-func (p *Process) Log() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	text := ""
-	for _, l := range p.raw {
-		text += l + "\n"
-	}
-	return text
-}
-
-// Signal sends a signal to the process if it runs.
-func (p *Process) Signal(sig syscall.Signal) {
-	select {
-	case <-p.over:
-	default:
-		p.cmd.Process.Signal(sig)
-	}
-}
-
-// End sends a signal and waits until the process has ended, at most 20 s; then it is killed.
-func (p *Process) End(sig syscall.Signal) error {
-	p.Signal(sig)
-	select {
-	case <-p.over:
-		return p.err
-	case <-time.After(startLimit):
-		p.Signal(syscall.SIGKILL)
-		<-p.over
-		return errors.Join(fmt.Errorf("%s did not end", p.Name), p.err)
-	}
-}
-
-// Operator is where the process hears operators.
-func (p *Process) Operator() string { return p.operator }
-
 // Curl is a line for a shell that makes a call and gets an answer.
 func (g *Gateway) Curl() string {
 	return fmt.Sprintf(`curl -s -d hello -H 'X-Class: read' -H 'Req-Owner: demo' -H 'Req-Wait-Ms: 2000' `+
--- /dev/null
+++ b/internal/lab/line.go
@@ -0,0 +1,56 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+)
+
+// lineBase numbers the requests of lines, above those that come at a pace.
+const lineBase = 10_000_000
+
+// frontNotices is how long after a gateway was asked to end new connections still come to it.
+const frontNotices = 300 * time.Millisecond
+
+var errNobody = errors.New("connection refused by all")
+
+// line is a client that goes on sending on its connection for as long as that stays open, each request at once after the
+// last answer. A new connection goes to its own gateway, or to the next one that the front knows to take them. A request
+// that crosses the close of an idle connection is sent once more, as http.Transport does for what may be repeated.
+func (t *Traffic) line(i int, rng *rand.Rand) {
+	defer t.wg.Done()
+	tr := &http.Transport{MaxConnsPerHost: 1, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return t.connect(ctx, i)
+	}}
+	defer tr.CloseIdleConnections()
+	by := &http.Client{Transport: tr}
+	for n := lineBase * (i + 1); ; n++ {
+		select {
+		case <-t.stop:
+			return
+		default:
+		}
+		kind, fn := t.draw(rng)
+		body, due := fmt.Sprintf("%c%08d", kind, n), time.Now()
+		t.ended(body, t.call(by, "line", n, 0, fn, body), due, 0)
+	}
+}
+
+// connect opens a line's connection.
+func (t *Traffic) connect(ctx context.Context, i int) (net.Conn, error) {
+	var d net.Dialer
+	for k := range t.lab.Gateways {
+		g := t.lab.Gateways[(i+k)%len(t.lab.Gateways)]
+		if at := g.ending.Load(); at != 0 && time.Since(time.Unix(0, at)) > frontNotices {
+			continue
+		}
+		if c, err := d.DialContext(ctx, "tcp", g.Addr); err == nil {
+			return c, nil
+		}
+	}
+	return nil, errNobody
+}
--- /dev/null
+++ b/internal/lifecycle/build.go
@@ -0,0 +1,111 @@
+package lifecycle
+
+import (
+	"go.uber.org/zap"
+
+	"quillrail/internal/core"
+	"quillrail/internal/lifecycle/handover"
+	"quillrail/internal/wire/bulletin"
+	"quillrail/internal/wire/ipfix"
+	"quillrail/internal/wire/mqtt"
+	"quillrail/internal/wire/workerlink"
+)
+
+// build makes the parts behind the front.
+func (g *Gateway) build(c *Config, state handover.State) (err error) {
+	loop, net, log := g.loop, g.net, g.log
+	var observe core.Observer
+	if g.fresh {
+		observe = g.node.Observe
+	}
+	if c.Side.Export.Enabled {
+		g.flows = ipfix.New(loop, net, c.Side.exportOptions(c.Site), log.Named("ipfix"))
+		if observe == nil {
+			observe = g.flows.Observe
+		} else {
+			observe = func(r core.Record) { g.flows.Observe(r); g.node.Observe(r) }
+		}
+	}
+	if len(c.Site.Unknown) > 0 {
+		log.Warn("settings hold what is not understood", zap.Strings("places", c.Site.Unknown))
+	}
+	g.pool = workerlink.New(loop, net, c.Site, c.Sockets-c.clients()-c.own(), log.Named("workers"))
+	var workers core.Workers = g.pool
+	tell := func(whole bool, members []core.Member) { g.core.List(whole, members) }
+	told := tell
+	if c.Side.Enabled && c.Side.Workers.Broker != "" {
+		opt, replies, list, err := c.Side.workerOptions(c.Name, c.Site)
+		if err != nil {
+			return err
+		}
+		g.link = mqtt.NewLink(loop, net, opt, replies, list, c.Seed, tell, log.Named("mqtt.workers"))
+		f := &bothKinds{Pool: g.pool, mqtt: g.link}
+		workers, told = f, f.bulletin(tell)
+	}
+	if g.core, err = core.New(loop, c.Site.Decide, c.Seed, workers, observe, log.Named("core")); err != nil {
+		return err
+	}
+	g.core.Restore(state.Roster)
+	if state.Module != nil {
+		if err := g.core.Recall(state.Module); err != nil {
+			log.Warn("what the module had learnt is not taken over", zap.Error(err))
+		}
+	}
+	g.pool.Serve(g.core)
+	if g.link != nil {
+		g.link.Serve(g.core)
+	}
+	g.taker = g.core
+	if g.fresh {
+		g.taker = &gate{g.core, g.node}
+	}
+	if c.Side.Enabled && c.Side.Calls.Broker != "" {
+		opt, keep := c.Side.callOptions(c.Name)
+		g.calls = mqtt.NewFront(loop, net, g.taker, c.Site, opt, keep, c.Seed, observe, log.Named("mqtt.calls"))
+	}
+	if g.node != nil {
+		inner := told
+		told = func(whole bool, members []core.Member) { inner(whole, members); g.node.Told(whole, members) }
+	}
+	g.feed = bulletin.NewFeed(loop, net, c.Bulletin, c.Site, c.Last, told, log.Named("bulletin"))
+	if g.node != nil {
+		g.feed.Heard = g.node.Current
+	}
+	g.known, g.told = c.Known, told
+	return nil
+}
+
+// follow begins to follow the list.
+func (g *Gateway) follow() {
+	for _, e := range g.known {
+		g.told(e.Whole, e.Members)
+	}
+	g.known = nil
+	g.feed.Connect()
+	if g.flows != nil {
+		g.flows.Start()
+	}
+}
+
+// open takes clients.
+func (g *Gateway) open() {
+	if g.up == nil || g.up.from == nil {
+		g.connectBrokers()
+	}
+	g.front.Serve(g.taker)
+	g.log.Info("ready", zap.String("listen", g.net.Addr()), zap.Uint64("event", g.feed.Last()))
+	if g.up != nil {
+		g.up.begin()
+	}
+}
+
+// connectBrokers begins the sessions with brokers. Two processes of a gateway have the same client id, and a broker
+// would end the session of one for the other's: a new process waits for the old one's end.
+func (g *Gateway) connectBrokers() {
+	if g.link != nil {
+		g.link.Connect()
+	}
+	if g.calls != nil {
+		g.calls.Connect()
+	}
+}
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -11,7 +11,7 @@
 	"strconv"
 
 	"quillrail/internal/fleet"
-	"quillrail/internal/lifecycle/settings"
+	"quillrail/internal/settings"
 	"quillrail/internal/wire/bulletin"
 	"quillrail/internal/wire/opfront"
 )
--- a/internal/lifecycle/side.go
+++ b/internal/lifecycle/side.go
@@ -11,7 +11,7 @@
 	"github.com/BurntSushi/toml"
 
 	"quillrail/internal/core"
-	"quillrail/internal/lifecycle/settings"
+	"quillrail/internal/settings"
 	"quillrail/internal/wire/ipfix"
 	"quillrail/internal/wire/mqtt"
 	"quillrail/internal/wire/workerlink"
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -271,8 +271,8 @@
 	for i := range models {
 		m := Model{ID: fmt.Sprint("m", i), MemoryMB: int64(2000 + rng.IntN(3500)), Lanes: 2 << rng.IntN(3), LoadMs: 1000 + int64(rng.IntN(900))}
 		for h := range 3 {
-			m.Calls = append(m.Calls, Call{Class: "status-read", Hall: fmt.Sprint("hall-", h), Mcores: int64(4000 * workers / (20 * (i + 4))), Worth: 1},
-				Call{Class: "remote-command", Hall: fmt.Sprint("hall-", h), Mcores: int64(2000 * workers / (20 * (i + 4))), Worth: 5})
+			m.Calls = append(m.Calls, Call{Class: "read", Hall: fmt.Sprint("hall-", h), Mcores: int64(4000 * workers / (20 * (i + 4))), Worth: 1},
+				Call{Class: "command", Hall: fmt.Sprint("hall-", h), Mcores: int64(2000 * workers / (20 * (i + 4))), Worth: 5})
 		}
 		p.Models = append(p.Models, m)
 	}
--- a/internal/wire/bulletin/feed.go
+++ b/internal/wire/bulletin/feed.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	"quillrail/internal/core"
-	"quillrail/internal/lifecycle/settings"
+	"quillrail/internal/settings"
 	"quillrail/internal/wire/sock"
 )
 
--- a/internal/wire/form/form.go
+++ b/internal/wire/form/form.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"quillrail/internal/core"
-	"quillrail/internal/lifecycle/settings"
+	"quillrail/internal/settings"
 )
 
 const (
--- /dev/null
+++ b/internal/wire/httpfront/conn.go
@@ -0,0 +1,197 @@
+package httpfront
+
+import (
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"quillrail/internal/core"
+	"quillrail/internal/wire/sock"
+)
+
+// conn is one client's connection. The parser and spilt belong to the I/O goroutine, the rest to the turn.
+type conn struct {
+	f      *Front
+	sock   sock.Conn
+	parser Parser
+	spilt  int         // bytes read and discarded
+	shut   atomic.Bool // nothing more is taken: the last answer is under way
+
+	ref   core.Ref
+	open  *exchange // the request that is being answered
+	queue []*Request
+	out   []byte
+	fresh bool // no whole request has come yet
+	busy  bool // part of a request has come
+	last  bool // close once out is written
+	slow  bool // the client has not made room for all of the last answer
+	held  int  // so much was kept for it when it was last seen
+	spill bool // but read and discard for a while before: a close with input unread would take the answer back
+	gone  bool
+	timer *core.Deadline
+}
+
+func (c *conn) Data(b []byte) error {
+	if c.shut.Load() {
+		if c.spilt += len(b); c.spilt > lingerBytes {
+			return errSpilt
+		}
+		return nil
+	}
+	var got []*Request
+	err := c.parser.Feed(b, func(r *Request) { got = append(got, r) })
+	busy := !c.parser.Idle()
+	if err != nil {
+		c.shut.Store(true)
+	}
+	c.f.loop.Post(func() { c.take(got, busy, err) })
+	return nil
+}
+
+// Flushed says that the client has made room for all that was written.
+func (c *conn) Flushed() { c.f.loop.Post(c.flushed) }
+
+func (c *conn) flushed() {
+	if c.gone || !c.slow {
+		return
+	}
+	if c.letGo(); len(c.out) > 0 { // something was written meanwhile, and is flushed in this turn
+		return
+	}
+	if c.ended(); !c.gone {
+		c.next()
+	}
+}
+
+func (c *conn) Closed(error) { c.f.loop.Post(c.closed) }
+
+func (c *conn) opened() {
+	if c.f.conns.Len() >= c.f.soft {
+		c.f.makeRoom()
+	}
+	ref, ok := c.f.conns.Put(c)
+	if !ok {
+		c.f.log.Warn("too many client connections", zap.Int("open", c.f.conns.Len()))
+		c.gone = true
+		c.sock.Close()
+		return
+	}
+	c.ref = ref
+	c.rest(c.f.idle(readLimit))
+}
+
+// rest sets the time after which a connection without an open request is closed. Half a request gets an answer.
+func (c *conn) rest(d time.Duration) {
+	c.f.loop.Cancel(c.timer)
+	c.timer = c.f.loop.After(d, func() {
+		if c.busy && !c.last && !c.slow {
+			c.spill = true
+			c.respond(408, "", nil, true)
+			return
+		}
+		c.drop()
+	})
+}
+
+// settle is rest after an answer: for the next request, of which a part may be there.
+func (c *conn) settle() {
+	if c.busy {
+		c.rest(readLimit)
+	} else {
+		c.rest(c.f.idle(idleLimit))
+	}
+}
+
+func (c *conn) take(got []*Request, busy bool, err error) {
+	if c.gone || c.last {
+		return
+	}
+	if len(c.queue)+len(got) > pipelined {
+		err, got = bad(400, "too many requests at once"), nil
+	}
+	c.queue = append(c.queue, got...)
+	c.fresh = c.fresh && len(got) == 0
+	if busy && !c.busy && !c.fresh && c.open == nil && !c.slow && len(got) == 0 { // from its first byte on, not from each
+		c.rest(readLimit)
+	}
+	c.busy = busy
+	c.next()
+	if err != nil {
+		c.f.log.Info("bad request", zap.Error(err))
+		c.queue, c.spill = nil, true
+		b, x := err.(*BadRequest), c.open
+		c.open = nil
+		c.respond(b.Status, "", []byte(b.Text+"\n"), true)
+		if x != nil { // its client breaks the protocol in the middle of a call, and has its answer
+			c.f.core.Gone(x.req)
+		}
+	}
+}
+
+// next begins the requests that wait, one at a time.
+func (c *conn) next() {
+	for c.open == nil && len(c.queue) > 0 && !c.gone && !c.last && !c.slow { // at most one answer is kept for a client
+		r := c.queue[0]
+		c.queue = c.queue[1:]
+		c.begin(r)
+	}
+}
+
+func (c *conn) begin(r *Request) {
+	last := r.Close || c.f.closing || c.f.parting
+	if r.Method == "GET" && r.Path == "/check" {
+		if c.f.ready && !c.f.away {
+			c.respond(200, "", []byte("ready\n"), last)
+		} else {
+			c.respond(503, "Srv-Wait-Ms: 100\r\n", nil, last)
+		}
+		c.settle()
+		return
+	}
+	call, err := toCall(r, c.f.set)
+	if err != nil {
+		b := err.(*BadRequest)
+		c.f.log.Info("bad call", zap.String("path", r.Path), zap.Error(err))
+		c.respond(b.Status, "", []byte(b.Text+"\n"), last)
+		c.settle()
+		return
+	}
+	if !c.f.ready {
+		c.respond(503, "Srv-Wait-Ms: 100\r\n", nil, last)
+		c.settle()
+		return
+	}
+	if c.f.shut {
+		c.f.core.Count(call.Class, "refused")
+		c.respond(503, awayFields, nil, last)
+		c.settle()
+		return
+	}
+	x := &exchange{c: c, last: last}
+	call.Reply = x
+	c.open = x
+	c.f.loop.Cancel(c.timer)
+	if ref := c.f.core.Take(call); c.open == x {
+		x.req = ref
+	}
+}
+
+func (c *conn) closed() {
+	if c.gone {
+		return
+	}
+	c.gone = true
+	c.letGo()
+	c.f.loop.Cancel(c.timer)
+	c.f.conns.Free(c.ref)
+	if x := c.open; x != nil {
+		c.open = nil
+		c.f.core.Gone(x.req)
+	}
+}
+
+func (c *conn) drop() {
+	c.sock.Close()
+	c.closed()
+}
--- a/internal/wire/mqtt/front.go
+++ b/internal/wire/mqtt/front.go
@@ -10,7 +10,7 @@
 
 	"quillrail/decide"
 	"quillrail/internal/core"
-	"quillrail/internal/lifecycle/settings"
+	"quillrail/internal/settings"
 	"quillrail/internal/wire/form"
 	"quillrail/internal/wire/sock"
 )
--- a/internal/wire/mqtt/mqtt_test.go
+++ b/internal/wire/mqtt/mqtt_test.go
@@ -14,7 +14,7 @@
 
 	"quillrail/decide"
 	"quillrail/internal/core"
-	"quillrail/internal/lifecycle/settings"
+	"quillrail/internal/settings"
 	"quillrail/internal/wire/sock"
 	"quillrail/internal/wire/wiretest"
 )
--- a/internal/wire/wiretest/wiretest.go
+++ b/internal/wire/wiretest/wiretest.go
@@ -12,7 +12,7 @@
 
 	"quillrail/decide"
 	"quillrail/internal/core"
-	"quillrail/internal/lifecycle/settings"
+	"quillrail/internal/settings"
 	"quillrail/internal/wire/sock"
 )
 
--- a/tools/planplot/main.go
+++ b/tools/planplot/main.go
@@ -38,8 +38,8 @@
 		for h := range 3 { // popularity falls as 1 / rank
 			work := int64(4000 * workers / (20 * (i + 4)))
 			hall := fmt.Sprint("hall-", h)
-			m.Calls = append(m.Calls, plan.Call{Class: "status-read", Hall: hall, Mcores: work, Worth: 1},
-				plan.Call{Class: "remote-command", Hall: hall, Mcores: work / 2, Worth: 5})
+			m.Calls = append(m.Calls, plan.Call{Class: "read", Hall: hall, Mcores: work, Worth: 1},
+				plan.Call{Class: "command", Hall: hall, Mcores: work / 2, Worth: 5})
 		}
 		p.Models = append(p.Models, m)
 	}
