Host the fleet's parts in a small node, and cut gateways from each other in the rig

Change: fleet.Node is disk, transport and view, and hosts parts with the same few calls (begin, joined, tick, hear, saw, tell, save, figures); coming back is the first. Gateways tell one of them something over a link of its own at the same address as memberlist's (internal/fleet/link: one connection a direction, bounded, credit by the turn that takes what came), in place of a connection for each word. fleet.toml has `via`, for gateways reached elsewhere than at the address they name; the rig lays its relays there: TCP and datagrams, each direction of each pair by itself, cut, delay, drop, reorder. Messages are version 2.

--- /dev/null
+++ b/internal/fleet/comeback.go
@@ -0,0 +1,239 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"quillrail/internal/core"
+	"quillrail/internal/fleet/recover"
+	"quillrail/internal/roster"
+)
+
+const (
+	formerFade = 0.995                  // of the former rate stays after a second in which less was served
+	refusal    = 200 * time.Millisecond // clients that are not admitted are asked to stay away for so long
+)
+
+// TrustAll has a gateway believe all that it finds on disk, and admit everybody at once. It is the baseline that recovery
+// is measured against; only tests set it.
+var TrustAll bool
+
+// Comeback is the part that brings a gateway back after a loss of power: it runs a recover.Course, and keeps what operators
+// have said of workers the same at all gateways.
+type Comeback struct {
+	Base
+	h    *Host
+	gw   Gateway
+	set  *Settings
+	lim  recover.Limits
+	rank []float64    // worth by class
+	left []roster.Ban // of the gateway's state file
+
+	course *recover.Course
+	saved  *recover.Saved
+	marks  recover.Marks
+	agreed *recover.Agreed
+	admit  *recover.Admission
+	former float64
+	serves bool // from before its start
+	begun  bool // the gateway has been given what it begins with
+
+	members map[string]core.Member // the list, for what is saved
+	held    map[string]uint64
+	found   []string // functions found, still to be told
+	stands  []Stand  // copies found, as of the last save
+	told    time.Duration
+	late    int // functions and workers that were not told for want of room
+}
+
+// NewComeback returns the part. rank is the worth of each class; left are bans that the gateway knows from elsewhere, and
+// of which a word of the fleet counts more.
+func NewComeback(h *Host, gw Gateway, set *Settings, lim recover.Limits, rank []float64, left []roster.Ban) *Comeback {
+	return &Comeback{h: h, gw: gw, set: set, lim: lim, rank: rank, left: left, course: recover.NewCourse(h.Now()), marks: recover.Marks{},
+		agreed: recover.NewAgreed(), members: map[string]core.Member{}, held: map[string]uint64{}}
+}
+
+// Name names the part's messages and its entry on disk.
+func (c *Comeback) Name() string { return "state" }
+
+// Start is called before the node's: serves says that this process has taken over from one that served.
+func (c *Comeback) Start(serves bool) {
+	c.serves, c.course = serves, recover.NewCourse(c.h.Now())
+	c.h.Log().Info("coming back", zap.Stringer("phase", c.course.Phase()))
+}
+
+// Begin takes the former state.
+func (c *Comeback) Begin(saved []byte, late bool) {
+	without := ""
+	if saved != nil {
+		s := &recover.Saved{}
+		if err := decode(saved, s); err != nil {
+			c.h.Log().Error("state on disk is not used", zap.String("what", err.Error()))
+		} else {
+			c.saved = s
+		}
+	}
+	if late {
+		without = "its disk"
+	} else if c.saved == nil {
+		without = "its former state"
+	}
+	c.pass(recover.Reading, without)
+	if s := c.saved; s != nil {
+		if !TrustAll {
+			for _, v := range s.Trusted(c.h.Stamp(), c.lim) {
+				c.h.Log().Debug("state", zap.String("kind", string(v.Kind)), zap.Stringer("trust", v.Trust), zap.String("why", v.Why))
+			}
+		}
+		c.marks.Join(s.Marks)
+		c.former = s.Former
+	}
+}
+
+// Joined gives the gateway what it begins with.
+func (c *Comeback) Joined() {
+	without := ""
+	if c.agreed.Words == 0 {
+		without = "the others' word"
+	}
+	if c.pass(recover.Asking, without) {
+		c.begin()
+	}
+}
+
+func (c *Comeback) begin() {
+	b := Begin{}
+	own := c.gw.Event()
+	if s := c.saved; s != nil {
+		b.Roster, b.Module = s.Roster, s.Module
+		if s.Event > own {
+			own, b.Event = s.Event, s.Event
+			b.List = []core.Member{}
+			for i, h := range s.List {
+				b.List = append(b.List, core.Member{Host: h, Addr: s.Addrs[i]})
+			}
+		}
+	}
+	c.marks.Join(c.agreed.Marks)
+	for _, ban := range slices.Concat(b.Roster.Bans, c.left) { // from before there was a fleet
+		if _, known := c.marks[ban.ID]; !known {
+			c.marks.Say(ban.ID, true, ban.Since)
+		}
+	}
+	b.Roster.Bans = nil
+	for _, id := range slices.Sorted(maps.Keys(c.marks)) {
+		if k := c.marks[id]; k.Banned {
+			b.Roster.Bans = append(b.Roster.Bans, roster.Ban{ID: id, Since: k.Since})
+		}
+	}
+	listed := map[string]time.Duration{}
+	for _, m := range b.List {
+		listed[m.Name] = m.Since
+	}
+	for id, at := range c.agreed.Started {
+		if since, known := listed[id]; known && at > since+time.Second {
+			b.Roster.Cold = append(b.Roster.Cold, roster.Cold{ID: id, Listed: since, Since: at})
+		}
+	}
+	for fn, at := range c.agreed.Stands {
+		for w, t := range at {
+			b.Stands = append(b.Stands, Stand{fn, w, t})
+		}
+	}
+	if c.former == 0 && c.agreed.Words > 0 {
+		c.former = c.agreed.Rate / float64(c.agreed.Words)
+	}
+	c.begun = true
+	if err := c.gw.Begin(b); err != nil {
+		c.h.Log().Error("what was known before is not used", zap.Error(err))
+	}
+	c.hold()
+}
+
+// Current says that the bulletin has spoken: the list is up to date.
+func (c *Comeback) Current() {
+	if c.course.Phase() == recover.Listing && c.pass(recover.Listing, "") {
+		c.open()
+	}
+}
+
+// Tick is the pace of the phases.
+func (c *Comeback) Tick(now time.Duration) {
+	if p := c.course.Phase(); c.course.Due(now) {
+		switch p {
+		case recover.Listing:
+			if c.pass(p, "the bulletin") {
+				c.open()
+			}
+		case recover.Admitting:
+			c.pass(p, "a measured share")
+		}
+	}
+	if c.admit != nil && c.course.Phase() == recover.Admitting {
+		c.admit.Fleet(c.h.View().Alive())
+		c.gw.Vouch(c.former, c.admit.Slots())
+		if c.admit.Done(now) {
+			c.pass(recover.Admitting, "")
+		}
+	}
+	if now-c.told >= tellEvery {
+		c.told = now
+		c.tellFound()
+	}
+}
+
+func (c *Comeback) pass(p recover.Phase, without string) bool {
+	before := c.course.Since()
+	if !c.course.Pass(c.h.Now(), p, without) {
+		return false
+	}
+	f := []zap.Field{zap.Stringer("phase", c.course.Phase()), zap.Duration("after", c.h.Now()-before)}
+	if without != "" {
+		c.h.Log().Warn("coming back", append(f, zap.String("without", without))...)
+	} else {
+		c.h.Log().Info("coming back", f...)
+	}
+	if c.course.Phase() == recover.Full {
+		c.gw.Vouch(0, 0)
+		c.h.Retell()
+	}
+	return true
+}
+
+// Phase says how far the gateway has come back, in words, with what it goes on without.
+func (c *Comeback) Phase() (phase string, without []string) {
+	return c.course.Phase().String(), c.course.Poorer()
+}
+
+// Figures shows how far the gateway has come back.
+func (c *Comeback) Figures(show func(name string, value int)) {
+	show("phase", int(c.course.Phase()))
+	show("poorer", len(c.course.Poorer()))
+	show("held", len(c.held))
+	show("unsaid", c.late)
+}
+
+// Save returns what is known now.
+func (c *Comeback) Save() func() ([]byte, error) {
+	if !c.begun {
+		return nil
+	}
+	m := c.gw.Remember()
+	c.stands = standing(m)
+	if c.course.Phase() < recover.Admitting {
+		return nil
+	}
+	if c.course.Phase() == recover.Full {
+		c.former = max(m.Rate(c.h.Now()), c.former*formerFade)
+	}
+	s := &recover.Saved{At: c.h.Stamp(), Event: c.gw.Event(), Roster: c.gw.Saved(), Marks: maps.Clone(c.marks), Module: m, Former: c.former,
+		Alive: c.h.View().Alive()}
+	for _, name := range slices.Sorted(maps.Keys(c.members)) {
+		s.List, s.Addrs = append(s.List, c.members[name].Host), append(s.Addrs, c.members[name].Addr)
+	}
+	return func() ([]byte, error) { return msgpack.Marshal(s) }
+}
--- /dev/null
+++ b/internal/fleet/disk.go
@@ -0,0 +1,52 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"quillrail/internal/fleet/member"
+	"quillrail/internal/fleet/store"
+)
+
+// keyLife is the entry of the process's life; the others are the parts'.
+const keyLife = "incarnation"
+
+// result is what reading the disk has come to.
+type result struct {
+	db    *store.Store
+	found store.Found
+	life  member.Life
+	err   error
+}
+
+// readState opens the store, and has the process's own life written before anybody hears of it.
+func readState(dir string, clock time.Duration) (r result) {
+	r.db, r.found, r.err = store.Open(dir)
+	stored := uint64(0)
+	if b, ok := r.found.Entries[keyLife]; ok {
+		if err := msgpack.Unmarshal(b, &stored); err != nil {
+			r.found.Refused = append(r.found.Refused, fmt.Sprintf("entry %s: %v", keyLife, err))
+		}
+	}
+	r.life = member.Next(stored, 0, clock, rand.Uint64())
+	if r.db != nil {
+		n := r.life.N
+		r.db.Put(keyLife, func() ([]byte, error) { return msgpack.Marshal(n) })
+	}
+	return r
+}
+
+// save has the store write what the parts know now.
+func (n *Node) save() {
+	if n.db == nil {
+		return
+	}
+	for _, p := range n.parts {
+		if encode := p.Save(); encode != nil {
+			n.db.Put(p.Name(), encode)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/ear.go
@@ -0,0 +1,188 @@
+package fleet
+
+import (
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"quillrail/internal/fleet/link"
+	"quillrail/internal/fleet/member"
+)
+
+const (
+	maxParts = 16 // of which a message may speak
+	maxPart  = 32 // bytes of a part's name
+)
+
+// word is what is told to one who asks, by part.
+type word map[string][]byte
+
+// Check reports what no word can hold.
+func (w word) Check() error {
+	if len(w) > maxParts {
+		return fmt.Errorf("fleet: a word of %d parts", len(w))
+	}
+	return nil
+}
+
+// news is a part's news to all.
+type news struct {
+	From string
+	Life uint64
+	Part string
+	Body []byte
+}
+
+// Check reports what no news can hold.
+func (x *news) Check() error {
+	if x.From == "" || x.Life == 0 || len(x.Part) > maxPart {
+		return fmt.Errorf("fleet: news of %q, life %d", x.From, x.Life)
+	}
+	return nil
+}
+
+// post puts down what others are told when they ask.
+func (n *Node) post() {
+	w := word{}
+	for _, p := range n.parts {
+		if b := p.Tell(); b != nil {
+			w[p.Name()] = b
+		}
+	}
+	b, err := msgpack.Marshal(w)
+	if err != nil {
+		n.log.Error("what is known can't be told", zap.Error(err))
+		return
+	}
+	n.word.Store(&b)
+}
+
+// news tells all the others by gossip.
+func (n *Node) news(part string, body []byte) bool {
+	b, err := msgpack.Marshal(&news{From: n.name, Life: n.life.N, Part: part, Body: body})
+	if err != nil || n.net == nil || !n.net.Tell(b) {
+		n.late++
+		return false
+	}
+	return true
+}
+
+// hear gives a message to the part that it is for; one of a part that is not here is of a newer version.
+func (n *Node) hear(part string, m Heard) {
+	for _, p := range n.parts {
+		if p.Name() == part {
+			p.Hear(m)
+		}
+	}
+}
+
+// heard takes what another gateway knows.
+func (n *Node) heard(b []byte) {
+	var w word
+	if err := decode(b, &w); err != nil {
+		n.log.Warn("another gateway's word is not understood", zap.Error(err))
+		return
+	}
+	for _, p := range n.parts {
+		if body, ok := w[p.Name()]; ok {
+			p.Hear(Heard{How: Word, Body: body})
+		}
+	}
+}
+
+// heardNews takes a piece of news.
+func (n *Node) heardNews(b []byte) {
+	var x news
+	if err := decode(b, &x); err != nil {
+		n.log.Warn("news are not understood", zap.Error(err))
+		return
+	}
+	n.spoken(x.Part, Heard{How: News, From: x.From, Life: x.Life, Body: x.Body})
+}
+
+// spoken hears another gateway, unless it speaks of a life that was followed by another.
+func (n *Node) spoken(part string, m Heard) {
+	if m.From != n.name && m.Life >= n.view.Heard(m.From) {
+		n.hear(part, m)
+	}
+}
+
+// event takes what has become of another gateway.
+func (n *Node) event(e member.Event) {
+	what := n.view.Hear(e)
+	f := []zap.Field{zap.String("gateway", e.Card.Name), zap.Uint64("incarnation", e.Card.Life.N), zap.Stringer("state", e.State),
+		zap.Int("gateways", n.view.Alive())}
+	switch what {
+	case member.Came, member.Changed:
+		n.log.Info("another gateway", f...)
+	case member.Namesake:
+		n.log.Error("another process has this gateway's name, and is the earlier one", f...)
+	case member.Superseded:
+		n.log.Error("a later process has this gateway's name: this one leaves the fleet", f...)
+		if t := n.net; t != nil {
+			n.net = nil
+			go t.Close(false)
+		}
+	}
+	for _, p := range n.parts {
+		p.Saw(e, what)
+	}
+}
+
+// Figures shows the node's own figures and those of the parts.
+func (n *Node) Figures(show func(name string, value int)) {
+	alive, untold := 1, n.late
+	if n.view != nil {
+		alive = n.view.Alive()
+	}
+	if n.net != nil {
+		l := n.net.Links()
+		untold += int(n.net.Lost() + l.Lost)
+		show("links", l.Peers)
+	}
+	show("gateways", alive)
+	show("untold", untold)
+	if n.db != nil {
+		s := n.db.Stats()
+		show("saved", int(s.Saved))
+		show("save_errors", int(s.Lost))
+		show("save_stalled_ms", int(s.Busy.Milliseconds()))
+	}
+	for _, p := range n.parts {
+		p.Figures(show)
+	}
+}
+
+// ear is the side of a Node that the transport sees, on its own goroutines.
+type ear Node
+
+func (e *ear) post(f func(n *Node)) {
+	n := (*Node)(e)
+	n.loop.Post(func() {
+		if !n.ended {
+			f(n)
+		}
+	})
+}
+
+func (e *ear) Event(x member.Event) { e.post(func(n *Node) { n.event(x) }) }
+func (e *ear) Heard(b []byte)       { e.post(func(n *Node) { n.heard(b) }) }
+func (e *ear) News(b []byte)        { e.post(func(n *Node) { n.heardNews(b) }) }
+func (e *ear) Trouble(what string) {
+	e.post(func(n *Node) { n.log.Warn("fleet", zap.String("what", what)) })
+}
+func (e *ear) Message(from link.Hello, m link.Message, taken func()) {
+	n := (*Node)(e)
+	n.loop.Post(func() {
+		if taken(); !n.ended {
+			n.spoken(m.Part, Heard{How: Message, From: from.Name, Life: from.Life, Body: m.Body})
+		}
+	})
+}
+func (e *ear) Word() []byte {
+	if b := e.word.Load(); b != nil {
+		return *b
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/member/delegate.go
@@ -0,0 +1,144 @@
+package member
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/hashicorp/memberlist"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// news is a piece of news on its way.
+type news []byte
+
+func (n news) Invalidates(memberlist.Broadcast) bool { return false }
+
+func (n news) Message() []byte { return n }
+
+func (n news) Finished() {}
+
+// What memberlist asks and tells.
+
+// NodeMeta returns this gateway's card.
+func (t *Transport) NodeMeta(limit int) []byte {
+	b, err := msgpack.Marshal(t.card.Load())
+	if err != nil || len(b) > limit {
+		t.trouble(fmt.Sprintf("a card of %d bytes is not told", len(b)))
+		return nil
+	}
+	return b
+}
+
+// NotifyMsg takes a piece of news.
+func (t *Transport) NotifyMsg(b []byte) {
+	if len(b) > maxNews {
+		return
+	}
+	t.h.News(append([]byte(nil), b...))
+}
+
+// GetBroadcasts returns the news that goes with the next datagram.
+func (t *Transport) GetBroadcasts(overhead, limit int) [][]byte {
+	return t.queue.GetBroadcasts(overhead, limit)
+}
+
+// LocalState returns what this gateway knows.
+func (t *Transport) LocalState(bool) []byte {
+	b := t.h.Word()
+	if len(b) > maxWord {
+		t.trouble(fmt.Sprintf("what is known takes %d bytes and is not told", len(b)))
+		return nil
+	}
+	return b
+}
+
+// MergeRemoteState takes what another one knows.
+func (t *Transport) MergeRemoteState(b []byte, _ bool) {
+	switch {
+	case len(b) == 0:
+	case len(b) > maxWord:
+		t.trouble(fmt.Sprintf("what another gateway knows takes %d bytes and is not heard", len(b)))
+	default:
+		t.h.Heard(append([]byte(nil), b...))
+	}
+}
+
+func (t *Transport) event(n *memberlist.Node, found State) {
+	c, err := cardOf(n)
+	if err != nil {
+		t.trouble(err.Error())
+		return
+	}
+	t.addrs.Store(c.Name, n.Address())
+	e := Event{Card: c, State: c.State}
+	if found != Joining {
+		e.State = found
+	}
+	t.h.Event(e)
+}
+
+func cardOf(n *memberlist.Node) (c Card, err error) {
+	if err := msgpack.Unmarshal(n.Meta, &c); err != nil {
+		return c, fmt.Errorf("member: what %s says of itself is not understood: %w", n.Name, err)
+	}
+	if c.Name != n.Name {
+		return c, fmt.Errorf("member: %s says that it is %s", n.Name, c.Name)
+	}
+	return c, c.Check()
+}
+
+// NotifyJoin, NotifyUpdate and NotifyLeave take what has become of another gateway.
+func (t *Transport) NotifyJoin(n *memberlist.Node) { t.event(n, Joining) }
+
+func (t *Transport) NotifyUpdate(n *memberlist.Node) { t.event(n, Joining) }
+
+func (t *Transport) NotifyLeave(n *memberlist.Node) {
+	if c, err := cardOf(n); err == nil && c.State == Draining { // it has said so before; memberlist does not tell the two apart here
+		t.event(n, Left)
+	} else {
+		t.event(n, Gone)
+	}
+}
+
+// NotifyConflict hears that two processes have one name at two addresses.
+func (t *Transport) NotifyConflict(a, b *memberlist.Node) {
+	for _, n := range []*memberlist.Node{a, b} {
+		if n.Name == t.o.Self.Name {
+			t.event(n, Joining)
+		}
+	}
+	t.trouble(fmt.Sprintf("the name %s is at %s and at %s", a.Name, a.Address(), b.Address()))
+}
+
+// NotifyAlive refuses who can't be understood.
+func (t *Transport) NotifyAlive(n *memberlist.Node) error {
+	_, err := cardOf(n)
+	if err != nil {
+		t.trouble(err.Error())
+	}
+	return err
+}
+
+// trouble tells something once.
+func (t *Transport) trouble(what string) {
+	if _, told := t.said.LoadOrStore(what, true); !told {
+		t.h.Trouble(what)
+	}
+}
+
+// lines takes memberlist's own log. What it calls errors are mostly peers that are not there.
+type lines struct{ t *Transport }
+
+func (l *lines) Write(b []byte) (int, error) {
+	text := strings.TrimSpace(string(b))
+	switch {
+	case strings.Contains(text, "label"): // another fleet, or nobody's
+		l.t.trouble("a message of another fleet is not heard")
+	case strings.HasPrefix(text, "[ERR]"), strings.HasPrefix(text, "[WARN]"):
+		l.t.log.Debug(text)
+	}
+	return len(b), nil
+}
+
+var _ io.Writer = (*lines)(nil)
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -53,7 +53,7 @@
 
 // Version is that of the messages. Another one with the same Major is understood.
 const (
-	Major = 1
+	Major = 2
 	Minor = 0
 )
 
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -10,6 +10,8 @@
 
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
+
+	"quillrail/internal/fleet/link"
 )
 
 // The same steps each time; -rapid.seed on the command line draws others.
@@ -131,6 +133,10 @@
 func (e *ear) News(b []byte)       { e.note(func() { e.news = append(e.news, string(b)) }) }
 func (e *ear) Trouble(what string) { e.note(func() { e.trouble = append(e.trouble, what) }) }
 func (e *ear) Word() []byte        { return []byte(e.word) }
+func (e *ear) Message(from link.Hello, m link.Message, taken func()) {
+	e.note(func() { e.news = append(e.news, from.Name+" "+m.Part+" "+string(m.Body)) })
+	taken()
+}
 
 // until waits for something to have been told.
 func (e *ear) until(t *testing.T, what string, seen func() bool) {
@@ -190,6 +196,10 @@
 		t.Error("no room for news")
 	}
 	eb.until(t, "news", func() bool { return len(eb.news) > 0 && eb.news[0] == "news" })
+	if !tb.Send("a", link.Message{Part: "p", Body: []byte("hi")}) || tb.Send("z", link.Message{}) {
+		t.Error("a message finds room, or goes to nobody")
+	}
+	ea.until(t, "a message", func() bool { return slices.Contains(ea.news, "b p hi") })
 	if ta.Tell(make([]byte, maxNews+1)) || ta.Lost() != 1 {
 		t.Error("news that fit no datagram are not counted")
 	}
--- a/internal/fleet/member/transport.go
+++ b/internal/fleet/member/transport.go
@@ -3,20 +3,21 @@
 import (
 	"context"
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"io"
 	"log"
 	"net"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/memberlist"
-	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
+
+	"quillrail/internal/fleet/link"
 )
 
 const (
@@ -30,9 +31,10 @@
 
 // Options say where and with whom a gateway is.
 type Options struct {
-	Fleet string   // its name; who names another one is not heard
-	Bind  string   // host:port for datagrams and connections
-	Seeds []string // host:port of gateways to begin with; this one's own may be among them
+	Fleet string            // its name; who names another one is not heard
+	Bind  string            // host:port for datagrams and connections
+	Seeds []string          // host:port of gateways to begin with; this one's own may be among them
+	Via   map[string]string // where gateways are reached that are not at the address they name: that address, the other one
 	Self  Card
 }
 
@@ -40,16 +42,19 @@
 // that asks; it returns what was posted last.
 type Handler interface {
 	Event(Event)
-	Heard(word []byte)   // what another gateway knows, in answer or unasked
-	News(what []byte)    // a piece of news
-	Word() []byte        // what this gateway knows
-	Trouble(what string) // something that operators should know
+	Heard(word []byte)                                     // what another gateway knows, in answer or unasked
+	News(what []byte)                                      // a piece of news, told to all
+	Message(from link.Hello, m link.Message, taken func()) // told to this gateway; taken once it has been dealt with
+	Word() []byte                                          // what this gateway knows
+	Trouble(what string)                                   // something that operators should know
 }
 
 // Transport is this process's place among the others.
 type Transport struct {
 	list  *memberlist.Memberlist
 	queue *memberlist.TransmitLimitedQueue
+	links *link.Net
+	addrs sync.Map // by name, the address of every gateway that was ever heard of
 	h     Handler
 	log   *zap.Logger
 	o     Options
@@ -78,6 +83,17 @@
 	c.Label = fmt.Sprintf("quillrail-%x", sum[:8])
 	c.Delegate, c.Events, c.Conflict, c.Alive = t, t, t, t
 	c.Logger = log.New(&lines{t: t}, "", 0)
+	inner, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: int(n), Logger: c.Logger})
+	if err != nil {
+		return nil, fmt.Errorf("member: %w", err)
+	}
+	var w *wires
+	hello := link.Hello{Fleet: o.Fleet, Name: o.Self.Name, Life: o.Self.Life.N, Major: Major, Minor: Minor}
+	t.links = link.New(hello, func(addr string, limit time.Duration) (net.Conn, error) {
+		return net.DialTimeout("tcp", w.at(addr), limit)
+	}, h.Message)
+	w = newWires(inner, o.Via, t.accept)
+	c.Transport = w
 	c.TCPTimeout, c.ProbeTimeout, c.ProbeInterval = 500*time.Millisecond, 300*time.Millisecond, 700*time.Millisecond
 	c.SuspicionMult, c.SuspicionMaxTimeoutMult = 3, 2
 	c.GossipInterval, c.PushPullInterval, c.GossipToTheDeadTime = 100*time.Millisecond, 10*time.Second, 10*time.Second
@@ -89,6 +105,7 @@
 		return t.list.NumMembers()
 	}}
 	if t.list, err = memberlist.Create(c); err != nil {
+		w.Shutdown()
 		return nil, fmt.Errorf("member: %w", err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -97,6 +114,13 @@
 	return t, nil
 }
 
+// accept serves a link from another gateway.
+func (t *Transport) accept(c net.Conn) {
+	if err := t.links.Accept(c); err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		t.log.Debug("link", zap.Error(err))
+	}
+}
+
 // Join asks the seeds, all at once, and returns how many have answered by limit.
 func (t *Transport) Join(limit time.Duration) int {
 	var wg sync.WaitGroup
@@ -173,18 +197,25 @@
 	return true
 }
 
-// Send tells a piece of news to each of the others over a connection, off the caller's goroutine: for what must not be late.
-// Gossip reaches all in the end, but one in nine only after two seconds now and then. It is told as well, for who is not
-// reached so.
-func (t *Transport) Send(what []byte) bool {
-	for _, m := range t.list.Members() {
-		if m.Name != t.o.Self.Name {
-			go t.list.SendReliable(m, what)
+// Send has a message sent to one gateway, over the link to it. It reports whether there was room.
+func (t *Transport) Send(to string, m link.Message) bool {
+	addr, ok := t.addrs.Load(to)
+	return ok && t.links.Send(addr.(string), m)
+}
+
+// SendAll has a message sent to each of the others: for what must not be late. Gossip reaches all in the end, but one in
+// nine only after two seconds now and then.
+func (t *Transport) SendAll(m link.Message) {
+	for _, o := range t.list.Members() {
+		if o.Name != t.o.Self.Name {
+			t.links.Send(o.Address(), m)
 		}
 	}
-	return t.Tell(what)
 }
 
+// Links are the figures of the links.
+func (t *Transport) Links() link.Stats { return t.links.Stats() }
+
 // Lost is the number of pieces of news that found no room.
 func (t *Transport) Lost() uint64 { return t.lost.Load() }
 
@@ -211,134 +242,6 @@
 		t.list.UpdateNode(leaveLimit)
 		t.list.Leave(leaveLimit)
 	}
+	t.links.Close()
 	t.list.Shutdown()
 }
-
-// news is a piece of news on its way.
-type news []byte
-
-func (n news) Invalidates(memberlist.Broadcast) bool { return false }
-func (n news) Message() []byte                       { return n }
-func (n news) Finished()                             {}
-
-// What memberlist asks and tells.
-
-// NodeMeta returns this gateway's card.
-func (t *Transport) NodeMeta(limit int) []byte {
-	b, err := msgpack.Marshal(t.card.Load())
-	if err != nil || len(b) > limit {
-		t.trouble(fmt.Sprintf("a card of %d bytes is not told", len(b)))
-		return nil
-	}
-	return b
-}
-
-// NotifyMsg takes a piece of news.
-func (t *Transport) NotifyMsg(b []byte) {
-	if len(b) > maxNews {
-		return
-	}
-	t.h.News(append([]byte(nil), b...))
-}
-
-// GetBroadcasts returns the news that goes with the next datagram.
-func (t *Transport) GetBroadcasts(overhead, limit int) [][]byte {
-	return t.queue.GetBroadcasts(overhead, limit)
-}
-
-// LocalState returns what this gateway knows.
-func (t *Transport) LocalState(bool) []byte {
-	b := t.h.Word()
-	if len(b) > maxWord {
-		t.trouble(fmt.Sprintf("what is known takes %d bytes and is not told", len(b)))
-		return nil
-	}
-	return b
-}
-
-// MergeRemoteState takes what another one knows.
-func (t *Transport) MergeRemoteState(b []byte, _ bool) {
-	switch {
-	case len(b) == 0:
-	case len(b) > maxWord:
-		t.trouble(fmt.Sprintf("what another gateway knows takes %d bytes and is not heard", len(b)))
-	default:
-		t.h.Heard(append([]byte(nil), b...))
-	}
-}
-
-func (t *Transport) event(n *memberlist.Node, found State) {
-	c, err := cardOf(n)
-	if err != nil {
-		t.trouble(err.Error())
-		return
-	}
-	e := Event{Card: c, State: c.State}
-	if found != Joining {
-		e.State = found
-	}
-	t.h.Event(e)
-}
-
-func cardOf(n *memberlist.Node) (c Card, err error) {
-	if err := msgpack.Unmarshal(n.Meta, &c); err != nil {
-		return c, fmt.Errorf("member: what %s says of itself is not understood: %w", n.Name, err)
-	}
-	if c.Name != n.Name {
-		return c, fmt.Errorf("member: %s says that it is %s", n.Name, c.Name)
-	}
-	return c, c.Check()
-}
-
-// NotifyJoin, NotifyUpdate and NotifyLeave take what has become of another gateway.
-func (t *Transport) NotifyJoin(n *memberlist.Node)   { t.event(n, Joining) }
-func (t *Transport) NotifyUpdate(n *memberlist.Node) { t.event(n, Joining) }
-func (t *Transport) NotifyLeave(n *memberlist.Node) {
-	if c, err := cardOf(n); err == nil && c.State == Draining { // it has said so before; memberlist does not tell the two apart here
-		t.event(n, Left)
-	} else {
-		t.event(n, Gone)
-	}
-}
-
-// NotifyConflict hears that two processes have one name at two addresses.
-func (t *Transport) NotifyConflict(a, b *memberlist.Node) {
-	for _, n := range []*memberlist.Node{a, b} {
-		if n.Name == t.o.Self.Name {
-			t.event(n, Joining)
-		}
-	}
-	t.trouble(fmt.Sprintf("the name %s is at %s and at %s", a.Name, a.Address(), b.Address()))
-}
-
-// NotifyAlive refuses who can't be understood.
-func (t *Transport) NotifyAlive(n *memberlist.Node) error {
-	_, err := cardOf(n)
-	if err != nil {
-		t.trouble(err.Error())
-	}
-	return err
-}
-
-// trouble tells something once.
-func (t *Transport) trouble(what string) {
-	if _, told := t.said.LoadOrStore(what, true); !told {
-		t.h.Trouble(what)
-	}
-}
-
-// lines takes memberlist's own log. What it calls errors are mostly peers that are not there.
-type lines struct{ t *Transport }
-
-func (l *lines) Write(b []byte) (int, error) {
-	text := strings.TrimSpace(string(b))
-	switch {
-	case strings.Contains(text, "label"): // another fleet, or nobody's
-		l.t.trouble("a message of another fleet is not heard")
-	case strings.HasPrefix(text, "[ERR]"), strings.HasPrefix(text, "[WARN]"):
-		l.t.log.Debug(text)
-	}
-	return len(b), nil
-}
-
-var _ io.Writer = (*lines)(nil)
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -13,13 +14,14 @@
 
 // Settings are the file's. ColdFrom and ColdFor are the site's, put in by the gateway.
 type Settings struct {
-	Enabled bool     `toml:"enabled"`
-	Fleet   string   `toml:"fleet"`       // its name
-	Bind    string   `toml:"bind"`        // where the others reach this gateway, host:port, datagrams and connections
-	Seeds   []string `toml:"seeds"`       // of those to ask first; one of them is enough
-	Dir     string   `toml:"dir"`         // what outlives a power loss
-	Loads   int      `toml:"first_loads"` // that the store of models bears at once from the whole fleet that comes back
-	BootID  string   `toml:"boot_id"`     // the file that names the machine's boot
+	Enabled bool              `toml:"enabled"`
+	Fleet   string            `toml:"fleet"`       // its name
+	Bind    string            `toml:"bind"`        // where the others reach this gateway, host:port, datagrams and connections
+	Seeds   []string          `toml:"seeds"`       // of those to ask first; one of them is enough
+	Dir     string            `toml:"dir"`         // what outlives a power loss
+	Via     map[string]string `toml:"via"`         // where gateways are reached that are not at the address they name: that address, the other one
+	Loads   int               `toml:"first_loads"` // that the store of models bears at once from the whole fleet that comes back
+	BootID  string            `toml:"boot_id"`     // the file that names the machine's boot
 
 	ColdFrom float64       `toml:"-"`
 	ColdFor  time.Duration `toml:"-"`
@@ -73,6 +75,11 @@
 			return nil, fmt.Errorf("seeds: %w", err)
 		}
 	}
+	for named, at := range s.Via {
+		if err := errors.Join(private(named), private(at)); err != nil {
+			return nil, fmt.Errorf("via: %w", err)
+		}
+	}
 	return s, nil
 }
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -32,6 +32,7 @@
 	ColdFor   time.Duration // a worker that starts is warm after
 	ColdFrom  float64       // and begins with this part of its capacity
 	Fleet     bool          // gateways know each other and keep their state on disk
+	Paths     bool          // gateways reach each other by relays, so that they can be cut from each other
 	StoreAt   int           // loads at once that push the store over, 0 for never
 	PerSecond float64       // calls a second that a warm worker bears: a cold one that gets more falls over
 }
@@ -65,6 +66,7 @@
 	keyed   map[string]time.Time // when a key last ran in a hall
 	counts  Counts
 	store   *store
+	paths   [][]*path // from a gateway to another
 }
 
 // Counts is what the stand-ins have seen.
@@ -110,6 +112,11 @@
 		}
 		l.Gateways = append(l.Gateways, g)
 	}
+	if o.Paths {
+		if err := l.lay(); err != nil {
+			return nil, errors.Join(err, l.Close())
+		}
+	}
 	return l, nil
 }
 
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -11,6 +11,7 @@
 type Fault struct {
 	Delay time.Duration // what passes comes so much later
 	Drop  bool          // what passes is lost, and the sender sees nothing of it
+	Hold  bool          // what passes waits until the fault is over, as TCP has it wait for a link that comes back
 	Rate  int           // bytes a second at most, 0 for no limit
 }
 
@@ -20,9 +21,11 @@
 	ln    net.Listener
 	to    func() string
 	mu    sync.Mutex
-	fault [2]Fault // towards the target, and back
+	over  sync.Cond // a fault has changed
+	fault [2]Fault  // towards the target, and back
 	conns map[net.Conn]bool
 	cut   bool // no connection comes up
+	ended bool
 }
 
 // newRelay listens on loopback and passes on to the address that to returns when a connection comes.
@@ -32,11 +35,21 @@
 		return nil, err
 	}
 	r := &Relay{ln: ln, to: to, conns: map[net.Conn]bool{}}
-	l.onClose(func() { ln.Close(); r.Reset() })
+	r.over.L = &r.mu
+	l.onClose(func() { ln.Close(); r.end() })
 	go l.serve(ln, r.handle)
 	return r, nil
 }
 
+// end lets go of whatever waits for a fault to be over.
+func (r *Relay) end() {
+	r.mu.Lock()
+	r.ended = true
+	r.over.Broadcast()
+	r.mu.Unlock()
+	r.Reset()
+}
+
 // Addr is where the relay listens.
 func (r *Relay) Addr() string { return r.ln.Addr().String() }
 
@@ -44,6 +57,15 @@
 func (r *Relay) Set(there, back Fault) {
 	r.mu.Lock()
 	r.fault = [2]Fault{there, back}
+	r.over.Broadcast()
+	r.mu.Unlock()
+}
+
+// set gives the fault of one direction.
+func (r *Relay) set(way int, f Fault) {
+	r.mu.Lock()
+	r.fault[way] = f
+	r.over.Broadcast()
 	r.mu.Unlock()
 }
 
@@ -59,6 +81,7 @@
 func (r *Relay) Heal() {
 	r.mu.Lock()
 	r.cut, r.fault = false, [2]Fault{}
+	r.over.Broadcast()
 	r.mu.Unlock()
 	r.Reset()
 }
@@ -76,6 +99,16 @@
 	clear(r.conns)
 }
 
+// await waits until a direction is not held.
+func (r *Relay) await(way int) Fault {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.fault[way].Hold && !r.ended {
+		r.over.Wait()
+	}
+	return r.fault[way]
+}
+
 func (r *Relay) handle(near net.Conn) {
 	r.mu.Lock()
 	r.conns[near] = true
@@ -86,6 +119,7 @@
 		r.drop(near)
 		return
 	}
+	r.await(0)
 	far, err := net.DialTimeout("tcp", r.to(), time.Second)
 	if err != nil {
 		near.(*net.TCPConn).SetLinger(0)
@@ -113,9 +147,7 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		r.mu.Lock()
-		f := r.fault[way]
-		r.mu.Unlock()
+		f := r.await(way)
 		if n > 0 && !f.Drop {
 			wait := f.Delay
 			if f.Rate > 0 {
--- a/internal/lifecycle/build.go
+++ b/internal/lifecycle/build.go
@@ -16,14 +16,14 @@
 	loop, net, log := g.loop, g.net, g.log
 	var observe core.Observer
 	if g.fresh {
-		observe = g.node.Observe
+		observe = g.back.Observe
 	}
 	if c.Side.Export.Enabled {
 		g.flows = ipfix.New(loop, net, c.Side.exportOptions(c.Site), log.Named("ipfix"))
 		if observe == nil {
 			observe = g.flows.Observe
 		} else {
-			observe = func(r core.Record) { g.flows.Observe(r); g.node.Observe(r) }
+			observe = func(r core.Record) { g.flows.Observe(r); g.back.Observe(r) }
 		}
 	}
 	if len(c.Site.Unknown) > 0 {
@@ -57,7 +57,7 @@
 	}
 	g.taker = g.core
 	if g.fresh {
-		g.taker = &gate{g.core, g.node}
+		g.taker = &gate{g.core, g.back}
 	}
 	if c.Side.Enabled && c.Side.Calls.Broker != "" {
 		opt, keep := c.Side.callOptions(c.Name)
@@ -65,11 +65,11 @@
 	}
 	if g.node != nil {
 		inner := told
-		told = func(whole bool, members []core.Member) { inner(whole, members); g.node.Told(whole, members) }
+		told = func(whole bool, members []core.Member) { inner(whole, members); g.back.Told(whole, members) }
 	}
 	g.feed = bulletin.NewFeed(loop, net, c.Bulletin, c.Site, c.Last, told, log.Named("bulletin"))
 	if g.node != nil {
-		g.feed.Heard = g.node.Current
+		g.feed.Heard = g.back.Current
 	}
 	g.known, g.told = c.Known, told
 	return nil
--- a/internal/lifecycle/fleet.go
+++ b/internal/lifecycle/fleet.go
@@ -33,7 +33,17 @@
 		worth = append(worth, k.Worth)
 	}
 	lim := recover.Limits{Classes: len(d.Classes), Tenants: len(d.Tenants)}
-	g.node = fleet.New(g.loop, (*peers)(g), &s, c.Name, d.Zone, lim, worth, left, g.log.Named("fleet"))
+	g.node = fleet.New(g.loop, &s, c.Name, d.Zone, g.log.Named("fleet"))
+	g.node.Add(func(h *fleet.Host) fleet.Part {
+		g.back = fleet.NewComeback(h, (*peers)(g), &s, lim, worth, left)
+		return g.back
+	})
+}
+
+// join takes the gateway's place in the fleet; serves says that this process has taken over from one that served.
+func (g *Gateway) join(serves bool) {
+	g.back.Start(serves)
+	g.node.Start()
 }
 
 // Begin builds the gateway, unless it serves already.
@@ -111,12 +121,12 @@
 // gate is what fronts give their calls to while the gateway comes back.
 type gate struct {
 	*core.Core
-	node *fleet.Node
+	back *fleet.Comeback
 }
 
 // Take refuses a call that is not admitted yet; nothing has run.
 func (t *gate) Take(call core.Call) core.Ref {
-	if ok, pause := t.node.Admit(call.Class, call.Function); !ok {
+	if ok, pause := t.back.Admit(call.Class, call.Function); !ok {
 		t.Count(call.Class, "refused")
 		call.Reply.Refused(pause)
 		return 0
@@ -129,7 +139,7 @@
 	if g.node == nil {
 		return errNotReady
 	}
-	phase, without := g.node.Phase()
+	phase, without := g.back.Phase()
 	if len(without) > 0 {
 		phase += ", without " + strings.Join(without, ", ")
 	}
@@ -138,13 +148,5 @@
 
 // fleetStat words the fleet's figures.
 func (g *Gateway) fleetStat(gauge func(string, int)) {
-	f := g.node.Figures()
-	gauge("fleet.gateways", f.Gateways)
-	gauge("fleet.phase", f.Phase)
-	gauge("fleet.poorer", f.Poorer)
-	gauge("fleet.held", f.Held)
-	gauge("fleet.untold", f.Untold)
-	gauge("fleet.saved", int(f.Saved))
-	gauge("fleet.save_errors", int(f.Lost))
-	gauge("fleet.save_stalled_ms", f.StalledMs)
+	g.node.Figures(func(name string, value int) { gauge("fleet."+name, value) })
 }
--- a/internal/lifecycle/operator.go
+++ b/internal/lifecycle/operator.go
@@ -72,7 +72,7 @@
 	}
 	if err == nil && d.node != nil {
 		ban, banned := d.core.Banned(id)
-		d.node.Changed(id, banned, ban.Since)
+		d.back.Said(id, banned, ban.Since)
 	}
 	return err
 }
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -50,10 +50,11 @@
 	log     *zap.Logger
 	feed    *bulletin.Feed
 	conf    *Config
-	node    *fleet.Node // nil where the gateway is of no fleet
-	fresh   bool        // the node brings the gateway up
-	door    *sock.Net   // nil where operators have none
-	up      *upgrade    // nil where no new process can take over
+	node    *fleet.Node     // nil where the gateway is of no fleet
+	back    *fleet.Comeback // the node's part that brings the gateway back
+	fresh   bool            // the node brings the gateway up
+	door    *sock.Net       // nil where operators have none
+	up      *upgrade        // nil where no new process can take over
 	term    bool
 	patient bool // SIGTERM has come, and a successor that has not said that it is ready is waited for
 
@@ -123,7 +124,7 @@
 	}
 	g.comeBack(c, state.Roster.Bans)
 	if g.fresh = g.node != nil && (g.up == nil || g.up.from == nil); g.fresh {
-		loop.Post(func() { g.node.Start(false) })
+		loop.Post(func() { g.join(false) })
 		return g, nil
 	}
 	if err := g.build(c, state); err != nil {
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -184,7 +184,7 @@
 			u.from = nil
 			u.g.log.Info("the old process has ended")
 			if u.g.node != nil && !u.g.term {
-				u.g.node.Start(true)
+				u.g.join(true)
 			}
 			u.g.connectBrokers()
 		case u.to:
