--- /dev/null
+++ b/internal/fleet/change/course.go
@@ -0,0 +1,167 @@
+package change
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Target is what a thing is to stand at by a release; of workers, which are started anew, it is "" forwards.
+func (r *Release) Target(t Thing) string {
+	if r.Backward {
+		return r.From[t]
+	}
+	return r.To
+}
+
+// Stands reports whether a thing stands at what a release wants. Workers that were started anew stay so: there is no way back
+// for them, and a release of theirs that is taken back ends where it is.
+func (s *State) Stands(r *Release, t Thing) bool {
+	k := s.Things[t]
+	switch {
+	case k == nil: // it left the fleet
+		return true
+	case r.What == Workers:
+		return r.Backward || fmt.Sprint(k.Life) != r.From[t] && k.Health == Well && s.PermitOf(t) == nil
+	}
+	return k.at(r.What) == r.Target(t) && k.Health == Well && s.PermitOf(t) == nil
+}
+
+// Steps are the things of a release's present wave, backwards only those that it has touched.
+func (r *Release) Steps() []Thing {
+	if r.Wave < 0 || r.Wave >= len(r.Waves) {
+		return nil
+	}
+	w := slices.Clone(r.Waves[r.Wave])
+	if r.Backward {
+		w = slices.DeleteFunc(w, func(t Thing) bool { return !r.Touched[t] })
+	}
+	return w
+}
+
+// touch notes that a step is begun; it is called when the step's permit is used.
+func (s *State) touch(p *Permit) {
+	for _, r := range s.Releases {
+		if r.ID == p.Release {
+			for _, t := range p.Things {
+				r.Touched[t] = true
+			}
+		}
+	}
+}
+
+// running returns a release that has not ended.
+func (s *State) running(id uint64) (*Release, error) {
+	for _, r := range s.Releases {
+		if r.ID == id && r.Course < Done {
+			return r, nil
+		}
+	}
+	return nil, fmt.Errorf("no release %d is under way", id)
+}
+
+// Stand says that all of the wave stand at what is wanted, and prove themselves from now on.
+func (s *State) Stand(c Ctx, id uint64) error {
+	r, err := s.running(id)
+	if err != nil || r.Course != Running {
+		return fmt.Errorf("release %d does not run", id)
+	}
+	for _, t := range r.Steps() {
+		if !s.Stands(r, t) {
+			return fmt.Errorf("%s does not stand at %q", t.Name(), r.Target(t))
+		}
+	}
+	r.Stood = c.At
+	return nil
+}
+
+// Next goes on to the next wave, or ends the release. The wave has to have stood for as long as it proves itself.
+func (s *State) Next(c Ctx, id uint64) error {
+	r, err := s.running(id)
+	switch {
+	case err != nil:
+		return err
+	case r.Course != Running || r.Stood == 0:
+		return fmt.Errorf("wave %d of release %s does not stand", r.Wave+1, r.Name)
+	case !r.Backward && c.At-r.Stood < r.ProveMs:
+		return fmt.Errorf("wave %d of release %s has proved itself for %d of %d ms", r.Wave+1, r.Name, c.At-r.Stood, r.ProveMs)
+	}
+	r.Stood = 0
+	if r.Backward {
+		if r.Wave--; r.Wave < 0 {
+			r.Course, r.Reason = Undone, ""
+		}
+	} else if r.Wave++; r.Wave >= len(r.Waves) {
+		r.Course, r.Reason = Done, ""
+	}
+	return nil
+}
+
+// Halt has a release stand still. What waits for it waits no longer; what is out comes back by itself.
+func (s *State) Halt(c Ctx, id uint64, reason string) error {
+	r, err := s.running(id)
+	if err != nil {
+		return err
+	}
+	r.Course, r.Reason, r.Stood = Halted, reason, 0
+	s.lapseOf(r, "its release was halted")
+	return nil
+}
+
+func (s *State) lapseOf(r *Release, why string) {
+	for _, p := range slices.Clone(s.Permits) {
+		if p.Release == r.ID && p.Phase <= Granted {
+			s.end(p, why)
+		}
+	}
+}
+
+// Continue has a halted release go on.
+func (s *State) Continue(c Ctx, id uint64) error {
+	r, err := s.running(id)
+	if err != nil {
+		return err
+	}
+	if r.Course != Halted {
+		return fmt.Errorf("release %s is %s", r.Name, r.Course)
+	}
+	r.Course, r.Reason, r.Stood = Running, "", 0
+	return nil
+}
+
+// Revert takes a release back: exactly what it has touched goes to where it stood, wave by wave from the last.
+func (s *State) Revert(c Ctx, id uint64, reason string) error {
+	var r *Release
+	for _, o := range s.Releases {
+		if o.ID == id {
+			r = o
+		}
+	}
+	switch {
+	case r == nil:
+		return fmt.Errorf("no release %d is known", id)
+	case r.Course == Undone:
+		return fmt.Errorf("release %s has been taken back", r.Name)
+	case s.Current() != nil && s.Current() != r:
+		return fmt.Errorf("release %s is %s: one at a time", s.Current().Name, s.Current().Course)
+	case r.Backward && r.Course == Running:
+		return fmt.Errorf("release %s is being taken back", r.Name)
+	}
+	s.lapseOf(r, "its release is taken back")
+	r.Wave = min(r.Wave, len(r.Waves)-1)
+	r.Backward, r.Course, r.Reason, r.Stood = true, Running, reason, 0
+	return nil
+}
+
+// Wanted is what a gateway is to become: the target of a step whose permit it uses, "" for nothing.
+func (s *State) Wanted(gateway string) (what, to string, permit uint64) {
+	p := s.PermitOf(Of(Gateway, gateway))
+	if p == nil || p.Phase != Used || p.Release == 0 {
+		return "", "", 0
+	}
+	for _, r := range s.Releases {
+		if r.ID == p.Release && r.What != Workers {
+			return r.What, r.Target(p.Things[0]), p.ID
+		}
+	}
+	return "", "", 0
+}
