Hold an ordered log of what a fleet has agreed, and decide permits, releases and their comparison by it

Need: drains, releases, freezes and restrictions rest on what all gateways have agreed; nothing of it is used by the program yet. The store writes groups of entries whole and says when they are on disk. internal/fleet/guard lets tests take a guard out.

--- a/internal/fleet/change/apply.go
+++ b/internal/fleet/change/apply.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+
+	"quillrail/internal/fleet/guard"
 )
 
 // Ask has a permit wait. One of an emergency is used at once.
@@ -47,7 +49,7 @@
 		return fmt.Errorf("permit %d does not wait", id)
 	}
 	passes, err := s.turn(p, m)
-	if err != nil {
+	if err != nil && guard.On("permit limits") {
 		return err
 	}
 	for _, q := range passes {
@@ -63,7 +65,7 @@
 	switch {
 	case p == nil:
 		return fmt.Errorf("permit %d has ended", id)
-	case p.Phase != Granted:
+	case p.Phase != Granted && guard.On("two steps"):
 		return fmt.Errorf("permit %d %s", id, p.Phase)
 	case p.Holder != "" && p.Holder != holder:
 		return fmt.Errorf("permit %d is held by %s", id, p.Holder)
@@ -102,10 +104,13 @@
 // End ends a permit by evidence: its holder has said that its things are back, and others have seen each of them well since.
 func (s *State) End(c Ctx, id uint64) error {
 	p := s.Permit(id)
-	if p == nil || p.Phase != Returned {
+	if p == nil || p.Phase != Returned && guard.On("holder's word") {
 		return fmt.Errorf("permit %d does not come back", id)
 	}
 	for _, t := range p.Things {
+		if !guard.On("evidence of return") {
+			break
+		}
 		if k := s.Things[t]; k != nil && (k.Health != Well || k.Index <= p.Back) {
 			return fmt.Errorf("%s has not been seen well since it came back", t.Name())
 		}
@@ -160,8 +165,13 @@
 			refused = fmt.Errorf("%s is seen well by %d others, %d more are needed", x.Thing.Name(), len(x.Witnesses), s.missing(x))
 			continue
 		}
-		k := x.Known
-		k.Index, k.At = c.Index, c.At
+		k, old := x.Known, s.Things[x.Thing]
+		k.Index, k.At, k.Sudden = c.Index, c.At, 0
+		if old != nil {
+			if k.Sudden = old.Sudden; k.Life > old.Life && old.Life > 0 && s.PermitOf(x.Thing) == nil {
+				k.Sudden = c.At
+			}
+		}
 		s.Things[x.Thing] = &k
 	}
 	return refused
@@ -182,3 +192,44 @@
 	}
 	return max(0, min(witnesses, others)-len(seen))
 }
+
+// Apply applies a proposal of a driver or a holder. from and life are of the gateway that proposes it.
+func Apply(s *State, c Ctx, from string, life uint64, p Proposal) error {
+	switch b := p.Body.(type) {
+	case SeeBody:
+		return s.See(c, b.Seen)
+	case *Permit:
+		return s.Ask(c, b)
+	case *Release:
+		return s.Begin(c, b)
+	case GrantBody:
+		return s.Grant(c, b.ID, b.Measure)
+	case PermitBody:
+		switch p.Kind {
+		case "use":
+			return s.Use(c, b.ID, b.Holder, b.Life)
+		case "lapse":
+			return s.Lapse(c, b.ID, b.Why)
+		case "return":
+			return s.Return(c, b.ID, b.Holder, b.Life)
+		case "end":
+			return s.End(c, b.ID)
+		case "word":
+			return s.Word(c, b.ID, b.Why)
+		}
+	case HaltBody:
+		switch p.Kind {
+		case "stand":
+			return s.Stand(c, b.ID)
+		case "next":
+			return s.Next(c, b.ID)
+		case "halt":
+			return s.Halt(c, b.ID, b.Reason)
+		case "continue":
+			return s.Continue(c, b.ID)
+		case "revert":
+			return s.Revert(c, b.ID, b.Reason)
+		}
+	}
+	return fmt.Errorf("change: no entry %q", p.Kind)
+}
--- a/internal/fleet/change/course.go
+++ b/internal/fleet/change/course.go
@@ -147,6 +147,11 @@
 		return fmt.Errorf("release %s is being taken back", r.Name)
 	}
 	s.lapseOf(r, "its release is taken back")
+	for _, p := range s.Permits { // steps that are under way turn round, and have their time for it
+		if p.Release == r.ID {
+			p.At = c.At
+		}
+	}
 	r.Wave = min(r.Wave, len(r.Waves)-1)
 	r.Backward, r.Course, r.Reason, r.Stood = true, Running, reason, 0
 	return nil
@@ -155,7 +160,7 @@
 // Wanted is what a gateway is to become: the target of a step whose permit it uses, "" for nothing.
 func (s *State) Wanted(gateway string) (what, to string, permit uint64) {
 	p := s.PermitOf(Of(Gateway, gateway))
-	if p == nil || p.Phase != Used || p.Release == 0 {
+	if p == nil || p.Phase < Used || p.Release == 0 {
 		return "", "", 0
 	}
 	for _, r := range s.Releases {
--- a/internal/fleet/change/evidence.go
+++ b/internal/fleet/change/evidence.go
@@ -22,15 +22,20 @@
 	count func(t Tally) (n, x float64)
 }
 
-// harms are the kinds of a class: refused, failed, and slower than the quantiles of those not changed now.
-func (j *Judge) harms(class int, control []string, delta map[string][]Tally) map[string]harm {
+// harms are the kinds of a class: refused, failed, and slower than the quantiles of all that are compared, in this interval.
+// They have to be of both groups together: the quantiles of one alone would be nearer to its own calls than to the other's.
+func (j *Judge) harms(class int, both []string, delta map[string][]Tally) map[string]harm {
 	var sum Tally
-	for _, g := range control {
+	for _, g := range both {
 		sum = sum.Plus(delta[g][class])
 	}
+	of := fmt.Sprintf("class %d", class)
+	if class == j.classes {
+		of = "all classes"
+	}
 	h := map[string]harm{
-		fmt.Sprintf("%d refused", class): {count: func(t Tally) (float64, float64) { return float64(t.calls()), float64(t.Shed) }},
-		fmt.Sprintf("%d failed", class):  {count: func(t Tally) (float64, float64) { return float64(t.calls()), float64(t.Failed) }},
+		of + " refused": {count: func(t Tally) (float64, float64) { return float64(t.calls()), float64(t.Shed) }},
+		of + " failed":  {count: func(t Tally) (float64, float64) { return float64(t.calls()), float64(t.Failed) }},
 	}
 	for _, q := range quantiles {
 		cut, below := 0, uint64(0)
@@ -39,7 +44,7 @@
 				break
 			}
 		}
-		h[fmt.Sprintf("%d slow at %g%%", class, 100*q)] = harm{slow: true, count: func(t Tally) (float64, float64) {
+		h[fmt.Sprintf("%s slow at %g%%", of, 100*q)] = harm{slow: true, count: func(t Tally) (float64, float64) {
 			above := uint64(0)
 			for _, n := range t.Took[cut+1:] {
 				above += n
@@ -50,12 +55,7 @@
 	return h
 }
 
-func (j *Judge) cells(class int, names []string, delta map[string][]Tally, of harm) (out []cell) {
-	var n, x float64
-	for _, u := range j.usual {
-		a, b := of.count(u[class])
-		n, x = n+a, x+b
-	}
+func (j *Judge) cells(class int, names []string, delta map[string][]Tally, of harm, n, x float64) (out []cell) {
 	for _, g := range names {
 		c := cell{usual: 1}
 		c.n, c.x = of.count(delta[g][class])
@@ -68,6 +68,15 @@
 	return out
 }
 
+// usually is how often a harm befalls the fleet's calls in its usual course.
+func (j *Judge) usually(class int, of harm) (n, x float64) {
+	for _, u := range j.usual {
+		a, b := of.count(u[class])
+		n, x = n+a, x+b
+	}
+	return n, x
+}
+
 func (j *Judge) stream(name string) *stream {
 	s := j.streams[name]
 	if s == nil {
--- a/internal/fleet/change/judge.go
+++ b/internal/fleet/change/judge.go
@@ -62,8 +62,14 @@
 
 // NewJudge returns one that has compared nothing. usual may be nil.
 func NewJudge(alpha, worse, slower float64, classes int, usual map[string][]Tally) *Judge {
-	return &Judge{alpha: alpha, worse: worse, slower: slower, classes: classes, last: map[string]Counts{}, usual: usual,
+	j := &Judge{alpha: alpha, worse: worse, slower: slower, classes: classes, last: map[string]Counts{}, usual: map[string][]Tally{},
 		streams: map[string]*stream{}, seen: make([]uint64, classes)}
+	for g, u := range usual {
+		if len(u) == classes {
+			j.usual[g] = together(u)
+		}
+	}
+	return j
 }
 
 // Seen is how many calls of a class those changed have ended.
@@ -109,6 +115,15 @@
 	return out, true
 }
 
+// together adds all classes, as one more.
+func together(d []Tally) []Tally {
+	var sum Tally
+	for _, t := range d {
+		sum = sum.Plus(t)
+	}
+	return append(slices.Clone(d), sum)
+}
+
 // Feed takes the reports of an interval, by gateway.
 func (j *Judge) Feed(all map[string]Sample) {
 	type group struct{ changed, control []string }
@@ -127,16 +142,19 @@
 		if s.Life != old.Life {
 			restarts[g] = cell{n: 1, x: 1, usual: 1}
 		}
-		if delta[g] = d; !ok || len(d) != j.classes {
-			delta[g] = make([]Tally, j.classes)
+		if !ok || len(d) != j.classes {
+			d = make([]Tally, j.classes)
 		}
+		delta[g] = together(d)
 		if halls[s.Hall] == nil {
 			halls[s.Hall] = &group{}
 		}
 		if h := halls[s.Hall]; s.Changed {
 			h.changed = append(h.changed, g)
 			for k, t := range delta[g] {
-				j.seen[k] += t.calls()
+				if k < j.classes {
+					j.seen[k] += t.calls()
+				}
 			}
 		} else {
 			h.control = append(h.control, g)
@@ -168,13 +186,14 @@
 		evidence(gain[name], allowed, changed, control)
 	}
 	for _, g := range strata {
-		for k := range j.classes {
-			for name, of := range j.harms(k, g.control, delta) {
+		for k := range j.classes + 1 {
+			for name, of := range j.harms(k, slices.Concat(g.changed, g.control), delta) {
 				allowed := j.worse
 				if of.slow {
 					allowed = j.slower
 				}
-				add(name, allowed, j.cells(k, g.changed, delta, of), j.cells(k, g.control, delta, of))
+				n, x := j.usually(k, of)
+				add(name, allowed, j.cells(k, g.changed, delta, of, n, x), j.cells(k, g.control, delta, of, n, x))
 			}
 		}
 		pick := func(names []string) (out []cell) {
@@ -192,7 +211,7 @@
 
 // Verdict is the kind of harm that those changed do, "" if none is proven.
 func (j *Judge) Verdict() string {
-	limit := math.Log(float64(max(1, j.classes)*(2+tails)+1) / j.alpha)
+	limit := math.Log(float64((j.classes+1)*(2+tails)+1) / j.alpha)
 	for _, name := range slices.Sorted(maps.Keys(j.streams)) {
 		if j.streams[name].total > limit {
 			return name
--- /dev/null
+++ b/internal/fleet/change/rehearse/rehearse.go
@@ -0,0 +1,342 @@
+// Package rehearse plays releases and drains over fleets of a size that no machine has sockets for, on a clock of its own:
+// the permits, waves, comparisons and limits are those of package change; gateways, their calls and those who restart them
+// are a few lines each. Same seed, same play.
+package rehearse
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"quillrail/internal/fleet/change"
+)
+
+// Fault is what is wrong with a new version.
+type Fault string
+
+// The faults.
+const (
+	None  Fault = ""
+	Crash Fault = "crash" // it ends as soon as it starts
+	Fails Fault = "fails" // one class fails for 5 % of its calls
+	Slow  Fault = "slow"  // the slowest hundredth takes twice as long
+	Tenth Fault = "tenth" // every call takes a tenth longer
+)
+
+// Way is how a release goes over the fleet.
+type Way string
+
+// The ways: ours, and the baselines.
+const (
+	Ours      Way = "ours"
+	AllAtOnce Way = "all at once"
+	ByTime    Way = "fixed waves"
+)
+
+// Options say what is played.
+type Options struct {
+	Seed            uint64
+	Gateways, Halls int
+	PerSecond       float64 // calls of a gateway
+	Fault           Fault
+	BadHour         bool // a spell in which everything fails ten times as often and takes half as long again
+	Uneven          bool // gateways differ in how often their calls fail and how long they take
+	Way             Way
+	Release         change.Release
+	Limits          change.Limits
+	Length          int64 // ms at most
+}
+
+// Result is what came of it.
+type Result struct {
+	Halted    string  // why, "" if it went through
+	Reached   float64 // part of the fleet that had the new version at the most
+	Took      int64   // ms from the statement to the halt or the end
+	BackTook  int64   // ms from the halt until all stood at the former version, 0 without a way back
+	Lost      float64 // part of the worth asked for meanwhile that was not served in time
+	MostOut   int
+	Entries   int     // in the log
+	Bytes     float64 // told by and to a gateway, in all
+	Messages  float64
+	Completed bool
+}
+
+const (
+	tick     = 100
+	classes  = 3
+	aim      = 200.0 // ms, in which an answer is worth something
+	failBase = 0.004
+	median   = 40.0
+	sigma    = 0.6
+	down     = 400 // ms that a restart takes
+	notice   = 700 // ms until a supervisor acts
+)
+
+var shares = [classes]float64{0.55, 0.35, 0.10}
+
+type gateway struct {
+	thing     change.Thing
+	hall      string
+	version   string
+	life      uint64
+	upAt      int64 // 0: up
+	next      string
+	nextAt    int64
+	bad, slow float64 // its own way
+	counts    change.Counts
+	shown     change.Counts // as of the last report
+}
+
+// Play plays a release.
+func Play(o Options) Result {
+	rng := rand.New(rand.NewPCG(o.Seed, 7))
+	var all []*gateway
+	s := change.NewState(o.Limits)
+	var seen []change.Seen
+	for i := range o.Gateways {
+		g := &gateway{thing: change.Of(change.Gateway, fmt.Sprintf("g%03d", i)), hall: fmt.Sprint("hall", i%o.Halls), version: "v1", life: 1, bad: 1, slow: 1}
+		if o.Uneven {
+			g.bad, g.slow = math.Exp(0.3*rng.NormFloat64()), math.Exp(0.05*rng.NormFloat64())
+		}
+		g.counts = change.Counts{Life: 1, Classes: make([]change.Tally, classes)}
+		g.shown = copied(g.counts)
+		all = append(all, g)
+		seen = append(seen, change.Seen{Thing: g.thing, Known: change.Known{Hall: g.hall, Health: change.Well, Life: 1, Version: "v1"}, Witnesses: []string{"x", "y"}})
+	}
+	s.See(change.Ctx{Index: 1, At: 1}, seen)
+	d := change.NewDriver()
+	p := &play{o: o, rng: rng, all: all, s: s, d: d, index: 1}
+	for p.now = tick; p.now <= o.Length; p.now += tick {
+		if p.step() {
+			break
+		}
+	}
+	return p.result()
+}
+
+type play struct {
+	o       Options
+	rng     *rand.Rand
+	all     []*gateway
+	s       *change.State
+	d       *change.Driver
+	now     int64
+	index   uint64
+	release *change.Release
+	res     Result
+	asked   float64
+	lost    float64
+	haltAt  int64
+	bytes   float64
+	msgs    float64
+}
+
+const warmUp = 60_000 // ms before the release is stated
+
+func copied(c change.Counts) change.Counts {
+	return change.Counts{Life: c.Life, Classes: append([]change.Tally(nil), c.Classes...)}
+}
+
+// step plays a tick, and reports whether the play is over.
+func (p *play) step() bool {
+	for _, g := range p.all {
+		p.serve(g)
+	}
+	if p.now == warmUp {
+		r := p.o.Release
+		p.release = &r
+		switch p.o.Way {
+		case Ours:
+			p.apply(change.Proposal{Kind: "begin", Body: &r})
+		default:
+			p.baseline()
+		}
+	}
+	if p.now%1000 == 0 {
+		for _, g := range p.all {
+			g.shown = copied(g.counts)
+			p.tell(g.shown, 1)
+		}
+	}
+	if p.o.Way == Ours {
+		for _, x := range p.d.Drive(p.s, p.view()) {
+			p.apply(x)
+		}
+		p.supervise()
+	}
+	return p.judge()
+}
+
+// tell counts what a message costs, told so often.
+func (p *play) tell(v any, times int) {
+	b, _ := msgpack.Marshal(v)
+	p.bytes += float64(len(b) * times)
+	p.msgs += float64(times)
+}
+
+func (p *play) view() *change.View {
+	v := &change.View{Ctx: change.Ctx{Index: p.index, At: p.now}, Self: "leader", Things: map[change.Thing]change.Sight{},
+		Samples: map[string]change.Sample{}, Classes: classes}
+	for _, g := range p.all {
+		v.Load += p.o.PerSecond
+		h := change.Well
+		if g.upAt != 0 {
+			h = change.Out
+		}
+		v.Things[g.thing] = change.Sight{Hall: g.hall, Health: h, Life: g.life, Version: g.version, Witnesses: []string{"x", "y"}}
+		v.Samples[g.thing.Name()] = change.Sample{Hall: g.hall, Counts: g.shown}
+	}
+	return v
+}
+
+// apply applies an entry, which goes to every gateway.
+func (p *play) apply(x change.Proposal) {
+	p.index++
+	c := change.Ctx{Index: p.index, At: p.now}
+	if change.Apply(p.s, c, "leader", 1, x) == nil {
+		p.res.Entries++
+		p.tell(x, len(p.all))
+	}
+}
+
+// supervise restarts what the log wants restarted, as the gateways' supervisors do.
+func (p *play) supervise() {
+	for _, g := range p.all {
+		q := p.s.PermitOf(g.thing)
+		if q != nil && q.Phase == change.Granted && q.Holder != "" {
+			p.apply(change.Proposal{Kind: "use", Body: change.PermitBody{ID: q.ID, Holder: g.thing.Name(), Life: g.life}})
+		}
+		if what, to, _ := p.s.Wanted(g.thing.Name()); what != "" && to != g.version && g.nextAt == 0 {
+			g.next, g.nextAt = to, p.now+notice+p.rng.Int64N(500)
+		}
+		p.restart(g)
+	}
+}
+
+func (p *play) restart(g *gateway) {
+	if g.nextAt != 0 && p.now >= g.nextAt {
+		g.nextAt, g.version = 0, g.next
+		g.life++
+		g.counts = change.Counts{Life: g.life, Classes: make([]change.Tally, classes)}
+		g.upAt = p.now + down
+		if p.o.Fault == Crash && g.version == "v2" {
+			g.upAt = math.MaxInt64
+		}
+	}
+	if g.upAt != 0 && p.now >= g.upAt {
+		g.upAt = 0
+	}
+}
+
+// baseline has all gateways changed at once, or in waves of a tenth each 30 s, by time alone.
+func (p *play) baseline() {
+	for i, g := range p.all {
+		g.next, g.nextAt = "v2", p.now+tick
+		if p.o.Way == ByTime {
+			g.nextAt += int64(10*i/len(p.all)) * 30_000
+		}
+	}
+}
+
+// serve has a gateway take the calls of a tick.
+func (p *play) serve(g *gateway) {
+	if p.o.Way != Ours {
+		p.restart(g)
+	}
+	fails, took := failBase*g.bad, g.slow
+	if p.o.BadHour && p.now > warmUp+20_000 && p.now < warmUp+60_000 {
+		fails, took = 10*fails, 1.5*took
+	}
+	for n := poisson(p.rng, p.o.PerSecond*tick/1000); n > 0; n-- {
+		class, x := 0, p.rng.Float64()
+		for x > shares[class] && class < classes-1 {
+			x -= shares[class]
+			class++
+		}
+		t := &g.counts.Classes[class]
+		p.asked++
+		if g.upAt != 0 {
+			p.lost++
+			continue
+		}
+		f, ms := fails, took*median*math.Exp(sigma*p.rng.NormFloat64())
+		if g.version == "v2" {
+			switch p.o.Fault {
+			case Fails:
+				if class == 1 {
+					f += 0.05
+				}
+			case Slow:
+				if p.rng.Float64() < 0.03 { // so that the 99th percentile is twice what it was
+					ms = took * median * math.Exp(sigma*2.33) * 2 * (1 + 0.2*p.rng.Float64())
+				}
+			case Tenth:
+				ms *= 1.1
+			}
+		}
+		if p.rng.Float64() < f {
+			t.Failed++
+			p.lost++
+			continue
+		}
+		t.Served++
+		t.Took[change.Bucket(ms)]++
+		if ms > aim {
+			p.lost++
+		}
+	}
+}
+
+func poisson(rng *rand.Rand, mean float64) (n int) {
+	for l := rng.ExpFloat64(); l < mean; l += rng.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// judge notes how far it has come, and reports whether the play is over.
+func (p *play) judge() bool {
+	out, have, old := 0, 0, 0
+	for _, g := range p.all {
+		if g.upAt != 0 {
+			out++
+		}
+		if g.version == "v2" {
+			have++
+		} else {
+			old++
+		}
+	}
+	p.res.MostOut = max(p.res.MostOut, out)
+	p.res.Reached = max(p.res.Reached, float64(have)/float64(len(p.all)))
+	if p.now < warmUp {
+		p.asked, p.lost = 0, 0
+		return false
+	}
+	if p.o.Way != Ours {
+		p.res.Took = p.now - warmUp
+		p.res.Completed = have == len(p.all)
+		return p.res.Completed && p.now-warmUp > 300_000
+	}
+	r := p.s.Releases[len(p.s.Releases)-1]
+	if p.haltAt == 0 && (r.Course != change.Running || r.Backward) {
+		p.haltAt, p.res.Took = p.now, p.now-warmUp
+		p.res.Halted, p.res.Completed = r.Reason, r.Course == change.Done
+		if p.res.Completed {
+			p.res.Halted = ""
+		}
+	}
+	if r.Course == change.Undone && old == len(p.all) && out == 0 {
+		p.res.BackTook = p.now - p.haltAt
+		return true
+	}
+	return r.Course == change.Done || p.haltAt != 0 && !r.TakeBack
+}
+
+func (p *play) result() Result {
+	p.res.Lost = p.lost / max(1, p.asked)
+	p.res.Bytes, p.res.Messages = p.bytes/float64(len(p.all)), p.msgs/float64(len(p.all))
+	return p.res
+}
--- a/internal/fleet/change/thing.go
+++ b/internal/fleet/change/thing.go
@@ -54,6 +54,7 @@
 	Version, Config string // of a gateway
 	Index           uint64 // of the entry that said so
 	At              int64  // and its time, Unix ms
+	Sudden          int64  // when it last began a new life without a permit, Unix ms
 }
 
 // Limit is how many of a number of things may be out: a count, or a part of them; none of both is no limit.
@@ -91,7 +92,10 @@
 	return "none"
 }
 
-// UnmarshalText reads a limit from a file of settings.
+// MarshalText and UnmarshalText are the form in files of settings and in the log.
+func (l Limit) MarshalText() ([]byte, error) { return []byte(l.String()), nil }
+
+// UnmarshalText reads a limit.
 func (l *Limit) UnmarshalText(b []byte) (err error) {
 	*l, err = ParseLimit(string(b))
 	return err
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -4,20 +4,14 @@
 package store
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"maps"
 	"os"
 	"path/filepath"
-	"runtime/debug"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
-
-	"go.etcd.io/bbolt"
 )
 
 // File is the name of the file in the store's folder.
@@ -25,18 +19,19 @@
 
 const (
 	bucket    = "entries"
+	logBucket = "log"
 	version   = 1
-	maxValue  = 4 << 20 // bytes of an entry
-	maxKeys   = 64
+	maxValue  = 4 << 20  // bytes of an entry
+	maxKeys   = 64       // besides those of the log
+	maxLog    = 1 << 16  // entries of the log
+	maxWaits  = 1024     // groups of entries that wait to be written
 	maxFile   = 64 << 20 // bytes; a larger file is none of ours
 	lockLimit = 300 * time.Millisecond
-	group     = 20 * time.Millisecond // what comes within it is written with one sync
+	together  = 20 * time.Millisecond // what comes within it is written with one sync
 	retryPace = time.Second           // after a write that failed
 	headBytes = 2 + 1 + 8 + 4 + 4
 )
 
-var castagnoli = crc32.MakeTable(crc32.Castagnoli)
-
 // Found is what a store held when it was opened.
 type Found struct {
 	Entries map[string][]byte
@@ -60,6 +55,18 @@
 	close() error
 }
 
+// group is what is written whole, or not at all.
+type group struct {
+	entries map[string][]byte // nil values are removed
+	done    func(error)
+}
+
+// ErrFull says that too much waits to be written.
+var ErrFull = errors.New("store: too much waits to be written")
+
+// Log is how keys begin that are of a log: there may be many of them.
+const Log = "log/"
+
 // Store is an open store. Its methods may be called from any goroutine.
 type Store struct {
 	d     disk
@@ -67,6 +74,7 @@
 	retry time.Duration
 	mu    sync.Mutex
 	next  map[string]func() ([]byte, error)
+	group []group // written in their order, before next
 	seq   uint64
 	stat  Stats
 	busy  time.Time
@@ -121,70 +129,11 @@
 	return s, found, nil
 }
 
-// renew writes entries into a new file in place of the old one, which is kept where that fails.
-func renew(path string, old *bolt, good, sealed map[string][]byte) (*bolt, error) {
-	os.Remove(path + ".new")
-	fresh, err := openBolt(path + ".new")
-	if err != nil {
-		return nil, err
-	}
-	sealed = maps.Clone(sealed)
-	maps.DeleteFunc(sealed, func(key string, _ []byte) bool { _, ok := good[key]; return !ok })
-	if err = fresh.write(sealed); err == nil {
-		err = os.Rename(path+".new", path)
-	}
-	if err != nil {
-		fresh.close()
-		return nil, err
-	}
-	old.close()
-	return fresh, nil
-}
-
 func newStore(d disk) *Store {
 	return &Store{d: d, now: time.Now, retry: retryPace, next: map[string]func() ([]byte, error){}, wake: make(chan struct{}, 1),
 		quit: make(chan struct{}), done: make(chan struct{})}
 }
 
-// SpoiltError says that a file holds what was never written there.
-type SpoiltError struct {
-	Place string
-	Why   error
-}
-
-func (e *SpoiltError) Error() string { return fmt.Sprintf("spoilt at %s: %v", e.Place, e.Why) }
-func (e *SpoiltError) Unwrap() error { return e.Why }
-
-// seal wraps a value: magic, version, number of the write, length, checksum of all of that with the key, value.
-func seal(key string, seq uint64, value []byte) []byte {
-	b := make([]byte, headBytes, headBytes+len(value))
-	b[0], b[1], b[2] = 'q', 'r', version
-	binary.BigEndian.PutUint64(b[3:], seq)
-	binary.BigEndian.PutUint32(b[11:], uint32(len(value)))
-	binary.BigEndian.PutUint32(b[15:], sum(key, b[:15], value))
-	return append(b, value...)
-}
-
-func sum(key string, head, value []byte) uint32 {
-	c := crc32.Update(0, castagnoli, []byte(key))
-	return crc32.Update(crc32.Update(c, castagnoli, head), castagnoli, value)
-}
-
-func unseal(key string, b []byte) (value []byte, seq uint64, err error) {
-	spoilt := func(format string, a ...any) error { return &SpoiltError{"entry " + key, fmt.Errorf(format, a...)} }
-	switch {
-	case len(b) < headBytes || b[0] != 'q' || b[1] != 'r':
-		return nil, 0, spoilt("no entry in %d bytes", len(b))
-	case int64(binary.BigEndian.Uint32(b[11:])) != int64(len(b)-headBytes):
-		return nil, 0, spoilt("%d bytes, not %d", len(b)-headBytes, binary.BigEndian.Uint32(b[11:]))
-	case binary.BigEndian.Uint32(b[15:]) != sum(key, b[:15], b[headBytes:]):
-		return nil, 0, spoilt("checksum")
-	case b[2] != version: // sound, and of another program
-		return nil, 0, spoilt("version %d, not %d", b[2], version)
-	}
-	return slices.Clone(b[headBytes:]), binary.BigEndian.Uint64(b[3:]), nil
-}
-
 // Put has an entry written in place of what its key held. encode is called on the store's goroutine, later; it must not
 // touch what others change.
 func (s *Store) Put(key string, encode func() ([]byte, error)) {
@@ -202,6 +151,26 @@
 	}
 }
 
+// Write has a group of entries written, with one sync, after all groups that were given before: nothing of it is overtaken. A
+// nil value removes a key. done is called on the store's goroutine once they are on disk, also later where the disk fails for
+// a while; not at all if the store is closed before.
+func (s *Store) Write(entries map[string][]byte, done func(error)) {
+	s.mu.Lock()
+	full := len(s.group) >= maxWaits
+	if !full {
+		s.group = append(s.group, group{entries, done})
+	}
+	s.mu.Unlock()
+	if full {
+		done(ErrFull)
+		return
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Stats returns what the store has done.
 func (s *Store) Stats() Stats {
 	s.mu.Lock()
@@ -222,9 +191,9 @@
 			last = true
 		case <-s.wake:
 		}
-		if !last {
+		if !last && !s.urgent() {
 			select {
-			case <-time.After(group):
+			case <-time.After(together):
 			case <-s.quit:
 				last = true
 			}
@@ -246,18 +215,39 @@
 	}
 }
 
+// urgent reports whether somebody waits for the sync.
+func (s *Store) urgent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.group) > 0
+}
+
 // commit writes what waits. What can't be written is tried again, unless something newer has come; what can't be encoded
 // never will be.
 func (s *Store) commit() error {
 	s.mu.Lock()
 	work := s.next
 	s.next = map[string]func() ([]byte, error){}
+	groups := s.group
+	s.group = nil
 	seq := s.seq
 	s.seq += uint64(len(work))
+	for _, g := range groups {
+		s.seq += uint64(len(g.entries))
+	}
 	s.busy = s.now()
 	s.mu.Unlock()
 	var bad, failed error
 	entries := map[string][]byte{}
+	for _, g := range groups {
+		for _, key := range slices.Sorted(maps.Keys(g.entries)) {
+			if seq++; g.entries[key] == nil {
+				entries[key] = nil
+			} else {
+				entries[key] = seal(key, seq, g.entries[key])
+			}
+		}
+	}
 	for _, key := range slices.Sorted(maps.Keys(work)) {
 		value, err := work[key]()
 		if err == nil && len(value) > maxValue {
@@ -273,6 +263,11 @@
 	if len(entries) > 0 {
 		failed = s.d.write(entries)
 	}
+	if failed == nil {
+		for _, g := range groups {
+			g.done(nil)
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy = time.Time{}
@@ -284,11 +279,12 @@
 		s.stat.Saved += uint64(len(entries))
 		return nil
 	}
-	for key := range entries {
-		if _, newer := s.next[key]; !newer {
+	for key := range work {
+		if _, newer := s.next[key]; !newer && entries[key] != nil {
 			s.next[key] = work[key]
 		}
 	}
+	s.group = append(groups, s.group...)
 	return failed
 }
 
@@ -302,71 +298,3 @@
 		return errors.New("store: the disk is still busy")
 	}
 }
-
-// bolt is the database on disk.
-type bolt struct{ db *bbolt.DB }
-
-// guarded calls f, and makes an error of what bbolt panics with when its pages hold nonsense, also of a page that the
-// kernel can't read. Entries are read and written on one goroutine at a time, so that the setting is its own.
-func guarded(place string, f func() error) (err error) {
-	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
-	defer func() {
-		if p := recover(); p != nil {
-			err = &SpoiltError{place, fmt.Errorf("%v", p)}
-		}
-	}()
-	return f()
-}
-
-func openBolt(path string) (*bolt, error) {
-	if info, err := os.Stat(path); err == nil && info.Size() > maxFile {
-		return nil, &SpoiltError{path, fmt.Errorf("%d bytes", info.Size())}
-	}
-	b := &bolt{}
-	err := guarded(path, func() (err error) {
-		b.db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockLimit, FreelistType: bbolt.FreelistMapType})
-		return err
-	})
-	var no syscall.Errno
-	if spoilt := (*SpoiltError)(nil); err != nil && !errors.Is(err, bbolt.ErrTimeout) && !errors.As(err, &no) && !errors.As(err, &spoilt) {
-		return nil, &SpoiltError{path, err} // neither the lock nor the system: the file itself
-	}
-	return b, err
-}
-
-func (b *bolt) load() (entries map[string][]byte, err error) {
-	entries = map[string][]byte{}
-	path := b.db.Path()
-	err = guarded(path, func() error {
-		return b.db.View(func(tx *bbolt.Tx) error {
-			t := tx.Bucket([]byte(bucket))
-			if t == nil {
-				return nil
-			}
-			return t.ForEach(func(k, v []byte) error {
-				if len(entries) >= maxKeys {
-					return &SpoiltError{path, fmt.Errorf("more than %d entries", maxKeys)}
-				}
-				entries[string(k)] = slices.Clone(v)
-				return nil
-			})
-		})
-	})
-	return entries, err
-}
-
-func (b *bolt) write(entries map[string][]byte) error {
-	return guarded(b.db.Path(), func() error {
-		return b.db.Update(func(tx *bbolt.Tx) error {
-			t, err := tx.CreateBucketIfNotExists([]byte(bucket))
-			for _, key := range slices.Sorted(maps.Keys(entries)) {
-				if err == nil {
-					err = t.Put([]byte(key), entries[key])
-				}
-			}
-			return err
-		})
-	})
-}
-
-func (b *bolt) close() error { return guarded(b.db.Path(), b.db.Close) }
