Let a gateway of a fleet be upgraded without losing its place, its disk and its vote

Need: a release over 7 gateways stood still at its first step, and no test had upgraded a gateway of a fleet. Seen: the new process logged "store: timeout" and "bind: address already in use" 0.3 s after "the old process has ended", was of no fleet from then on, and the step ran out of time. At fault: lifecycle/end.go, where the link to the successor ended before the node let go of its file and address; it ends after them now. Ruled out: a slow disk, a killed process (the old one exited with 0). Then seen: "the disk is older than this gateway's last life" at upgraded voters, until no majority was left. At fault: accord/talk.go answered a claim with the highest life heard of, which gossip had raised to the claimant's own; lives are kept with their tag and the number before now. Third: what the gate refuses before the core was not in the reports, so that a version that sheds calls there was not compared; and evidence began anew with each wave, so that short waves could prove nothing. Change: besides the three, a permit's limits are checked again when it is used (something may have crashed since the grant), a release takes nothing out that is out already, configurations may carry a revision by which a release names them. In the rig: versions that misbehave, supervisors, a watch that counts gateways that are out, stand-ins that count what is out of its sites.

--- a/internal/fleet/accord/accord.go
+++ b/internal/fleet/accord/accord.go
@@ -62,7 +62,7 @@
 	log *zap.Logger
 
 	id      uint64 // of the disk
-	lives   map[string]uint64
+	lives   map[string]lives
 	claim   *agree.Claim
 	mine    *agree.Disk // what this disk holds of the log, until it is known whether it may be used
 	known   map[string]answer
@@ -98,7 +98,7 @@
 
 // New returns the part.
 func New(h *fleet.Host, gw Gateway, o Options) *Accord {
-	a := &Accord{h: h, gw: gw, o: o, log: h.Log().Named("agreed"), lives: map[string]uint64{}, open: map[uint64]*proposal{}, follows: map[string]*follower{},
+	a := &Accord{h: h, gw: gw, o: o, log: h.Log().Named("agreed"), lives: map[string]lives{}, open: map[uint64]*proposal{}, follows: map[string]*follower{},
 		known: map[string]answer{}}
 	a.copy = agree.NewFollower(nil, a.applied)
 	a.sight = newSight()
@@ -115,8 +115,8 @@
 	var s saved
 	if b != nil && msgpack.Unmarshal(b, &s) == nil && len(s.Lives) <= maxLives {
 		a.id = s.ID
-		for name, n := range s.Lives {
-			a.lives[name] = n
+		for name, l := range s.Lives {
+			a.lives[name] = l
 		}
 		if s.Copy != nil {
 			if err := a.copy.Replace(s.Copy); err != nil {
@@ -217,10 +217,7 @@
 
 // Saw takes what has become of another gateway.
 func (a *Accord) Saw(e member.Event, what member.What) {
-	if n := e.Card.Life.N; n > a.lives[e.Card.Name] && (len(a.lives) < maxLives || a.lives[e.Card.Name] > 0) && e.Card.Name != a.o.Name {
-		a.lives[e.Card.Name] = n
-		a.h.SaveSoon()
-	}
+	a.lived(e.Card.Name, e.Card.Life)
 }
 
 // applied is told of every entry that is applied here.
--- a/internal/fleet/accord/holder.go
+++ b/internal/fleet/accord/holder.go
@@ -91,6 +91,7 @@
 			id := p.ID
 			a.Propose("use", "", 0, change.PermitBody{ID: id, Holder: a.o.Name, Life: a.h.Life().N}, func(_ uint64, err error) {
 				if err != nil {
+					delete(x.asked, id<<3|1) // it may be granted again
 					a.log.Warn("a permit is not used", zap.Uint64("permit", id), zap.Error(err))
 				} else if mine && p.Release == 0 {
 					a.drained(id)
--- a/internal/fleet/accord/report.go
+++ b/internal/fleet/accord/report.go
@@ -91,28 +91,39 @@
 }
 
 func (s *sight) observe(a *Accord, r core.Record) {
+	t := s.count(a, r.Call.Class, r.Answer)
+	if t == nil {
+		return
+	}
+	if i := r.Call.Tenant*len(a.o.Classes) + r.Call.Class; i >= 0 && i < len(s.uses) {
+		s.uses[i]++
+	}
+	if r.Answer == "served" {
+		t.Took[change.Bucket(float64(r.End-r.Start)/float64(time.Millisecond))]++
+		s.answered[r.Host] = r.End
+	}
+}
+
+// count notes how a call was answered, and returns the tally of its class, nil if it has none.
+func (s *sight) count(a *Accord, class int, answer string) *change.Tally {
 	if s.tallies == nil {
 		s.tallies = make([]change.Tally, len(a.o.Classes))
 		s.uses = make([]float64, len(a.o.Classes)*max(1, len(a.o.Tenants)))
 	}
-	if r.Call.Class < 0 || r.Call.Class >= len(s.tallies) {
-		return
+	if class < 0 || class >= len(s.tallies) {
+		return nil
 	}
-	t := &s.tallies[r.Call.Class]
+	t := &s.tallies[class]
 	s.calls++
-	if i := r.Call.Tenant*len(a.o.Classes) + r.Call.Class; i >= 0 && i < len(s.uses) {
-		s.uses[i]++
-	}
-	switch r.Answer {
+	switch answer {
 	case "served":
 		t.Served++
-		t.Took[change.Bucket(float64(r.End-r.Start)/float64(time.Millisecond))]++
-		s.answered[r.Host] = r.End
 	case "refused":
 		t.Shed++
 	case "failed":
 		t.Failed++
 	}
+	return t
 }
 
 // measure brings the load up to date.
--- a/internal/fleet/accord/shown.go
+++ b/internal/fleet/accord/shown.go
@@ -11,7 +11,7 @@
 // saved is what a gateway keeps besides the log: the highest incarnations that it has heard of, and its copy.
 type saved struct {
 	ID    uint64
-	Lives map[string]uint64
+	Lives map[string]lives
 	Copy  []byte
 }
 
@@ -19,7 +19,7 @@
 
 // Save returns the copy and the incarnations.
 func (a *Accord) Save() func() ([]byte, error) {
-	s := saved{ID: a.id, Lives: map[string]uint64{}}
+	s := saved{ID: a.id, Lives: map[string]lives{}}
 	for name, n := range a.lives {
 		s.Lives[name] = n
 	}
@@ -97,6 +97,9 @@
 
 func (a *Accord) Observe(r core.Record) { a.sight.observe(a, r) }
 
+// Count notes a call that was answered before the core had it.
+func (a *Accord) Count(class int, answer string) { a.sight.count(a, class, answer) }
+
 // hallName is a hall by its number in the settings.
 func (a *Accord) hallName(zone int) string {
 	if zone >= 0 && zone < len(a.o.Halls) {
--- a/internal/fleet/accord/talk.go
+++ b/internal/fleet/accord/talk.go
@@ -6,6 +6,7 @@
 
 	"quillrail/internal/fleet"
 	"quillrail/internal/fleet/agree"
+	"quillrail/internal/fleet/member"
 )
 
 // The kinds of note.
@@ -27,6 +28,7 @@
 type note struct {
 	Kind    int      `msgpack:"k"`
 	Life    uint64   `msgpack:"l,omitempty"` // of the asker, that is known
+	Tag     uint64   `msgpack:"g,omitempty"` // of that life
 	ID      uint64   `msgpack:"d,omitempty"` // of the sender's disk
 	Index   uint64   `msgpack:"i,omitempty"` // of an entry
 	Hash    uint64   `msgpack:"h,omitempty"` // of the state at Index
@@ -64,11 +66,7 @@
 	switch x.Kind {
 	case noteClaim:
 		st := a.State()
-		y := note{Kind: noteClaimed, Life: a.lives[m.From], ID: a.id}
-		if x.Life > a.lives[m.From] { // it is told what was known before it, and known from then on
-			a.lives[m.From] = x.Life
-			a.h.SaveSoon()
-		}
+		y := note{Kind: noteClaimed, Life: a.lived(m.From, member.Life{N: x.Life, Tag: x.Tag}), ID: a.id}
 		if st != nil {
 			y.Index = st.Index
 		}
--- a/internal/fleet/change/apply.go
+++ b/internal/fleet/change/apply.go
@@ -70,6 +70,10 @@
 	case p.Holder != "" && p.Holder != holder:
 		return fmt.Errorf("permit %d is held by %s", id, p.Holder)
 	}
+	if err := s.Fits(s.takes(p), Measure{}); err != nil && p.Phase == Granted && guard.On("limits at use") {
+		p.Phase, p.At = Asked, c.At // something has gone out since it was granted: it waits again
+		return err
+	}
 	p.Phase, p.Life, p.At = Used, life, c.At
 	s.touch(p)
 	return nil
--- a/internal/fleet/change/permit.go
+++ b/internal/fleet/change/permit.go
@@ -180,7 +180,7 @@
 }
 
 func (s *State) turn(p *Permit, m Measure) (passes []*Permit, err error) {
-	if err := s.Fits(p.Things, m); err != nil {
+	if err := s.Fits(s.takes(p), m); err != nil {
 		return nil, err
 	}
 	for _, q := range s.Permits {
@@ -200,6 +200,14 @@
 	return passes, nil
 }
 
+// takes are the things that go out by a permit: a release that has something started which is out already takes nothing.
+func (s *State) takes(p *Permit) []Thing {
+	if p.Release == 0 || p.Holder != "" {
+		return p.Things
+	}
+	return slices.DeleteFunc(slices.Clone(p.Things), func(t Thing) bool { k := s.Things[t]; return k != nil && k.Health == Out })
+}
+
 // share reports whether two permits draw on one budget.
 func share(p, q *Permit) bool {
 	for _, a := range p.Things {
--- a/internal/fleet/change/steps.go
+++ b/internal/fleet/change/steps.go
@@ -89,9 +89,13 @@
 
 // compare is what the judge says.
 func (d *Driver) compare(s *State, r *Release, v *View) string {
-	if d.judge == nil || d.of != r.ID || d.wave != r.Wave {
-		d.judge = NewJudge(r.Alpha/float64(len(r.Waves)), r.Worse, r.Slower, v.Classes, d.usual)
-		d.of, d.wave = r.ID, r.Wave
+	if d.judge == nil || d.of != r.ID {
+		d.judge = NewJudge(r.Alpha, r.Worse, r.Slower, v.Classes, d.usual)
+		d.of = r.ID
+	}
+	if d.wave != r.Wave { // what is proven counts on, whoever else is changed
+		d.wave = r.Wave
+		d.judge.Again()
 	}
 	if v.At-d.fed < feedEvery {
 		return ""
--- a/internal/fleet/freeze/period.go
+++ b/internal/fleet/freeze/period.go
@@ -29,8 +29,9 @@
 var Kinds = []Kind{Config, Limits, Bans, Releases, Restrictions}
 
 const (
-	// Layout is how a period's times are written: times of day in its zone.
-	Layout = "2006-01-02T15:04"
+	// Layout is how a period's times are written: times of day in its zone. Seconds may follow.
+	Layout  = "2006-01-02T15:04"
+	seconds = ":05"
 
 	maxName    = 64
 	maxSpan    = 366 * 24 * time.Hour
@@ -58,7 +59,13 @@
 type Span struct{ From, To int64 }
 
 // floating reads a local time without its zone.
-func floating(text string) (time.Time, error) { return time.ParseInLocation(Layout, text, time.UTC) }
+func floating(text string) (time.Time, error) {
+	layout := Layout
+	if len(text) > len(Layout) {
+		layout += seconds
+	}
+	return time.ParseInLocation(layout, text, time.UTC)
+}
 
 // Check reports what is wrong with a period, at the time of its declaration.
 func (p *Period) Check(now time.Time) error {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -69,6 +69,10 @@
 	counts  Counts
 	store   *store
 	paths   [][]*path // from a gateway to another
+
+	confined *confined
+	ranAt    map[string]int // halls of requests
+	sessions map[string]int // halls of sessions, by epoch and function
 }
 
 // Counts is what the stand-ins have seen.
@@ -81,6 +85,8 @@
 	Fell      int // cold workers pushed over
 	Loads     int // copies loaded
 	Pushed    int // times that the store was pushed over
+	Outside   int // commands, and loads for them, at a hall where they may not be
+	Split     int // sessions that were at two halls in one epoch
 }
 
 // New prepares a lab: workers listen, bulletins are ready, gateways have their addresses and are not started yet.
@@ -98,7 +104,8 @@
 		return nil, fmt.Errorf("lab: a program, 1 to 250 gateways and workers and 1 to 8 halls are needed: %d, %d, %d",
 			o.Gateways, o.Workers, o.Halls)
 	}
-	l := &Lab{Options: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), begun: time.Now(), runs: map[string]int{}, keyed: map[string]time.Time{}}
+	l := &Lab{Options: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), begun: time.Now(), runs: map[string]int{}, keyed: map[string]time.Time{},
+		ranAt: map[string]int{}, sessions: map[string]int{}}
 	l.store = &store{lab: l}
 	for i := range o.Workers {
 		w, err := newWorker(l, i)
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -17,6 +17,7 @@
 	Wait      time.Duration // how long a client waits for one try
 	Unsafe    float64       // part of the requests that must not run twice
 	Keyed     float64       // part that carries a key
+	Apart     bool          // commands have functions of their own
 	Tries     int           // of a request at most; again only where it was refused or nobody was there to take it
 }
 
@@ -88,7 +89,10 @@
 	} else if x < t.load.Unsafe+t.load.Keyed {
 		kind = 'c'
 	}
-	return kind, int(min(rng.ExpFloat64()/4, 0.999) * float64(t.load.Functions))
+	if fn = int(min(rng.ExpFloat64()/4, 0.999) * float64(t.load.Functions)); t.load.Apart && kind == 'c' {
+		fn += apart
+	}
+	return kind, fn
 }
 
 // End has no more requests begin, waits for those that are out, and returns the counts.
--- a/internal/lab/power.go
+++ b/internal/lab/power.go
@@ -55,6 +55,8 @@
 		if p == nil {
 			return nil
 		}
+		g.unwilling.Store(time.Now().UnixNano())
+		g.lost.Store(time.Now().UnixNano())
 		p.End(syscall.SIGKILL)
 		return os.WriteFile(g.boot(), []byte(fmt.Sprintln("boot of", time.Now().UnixNano())), 0o600)
 	})
@@ -64,7 +66,11 @@
 func (l *Lab) PowerBack(gateways []*Gateway, workers []*Worker) error {
 	l.Say("power is back for %d gateways and %d workers", len(gateways), len(workers))
 	err := each(workers, (*Worker).Restart)
-	return errors.Join(err, each(gateways, (*Gateway).begin))
+	return errors.Join(err, each(gateways, func(g *Gateway) error {
+		err := g.begin()
+		g.unwilling.Store(0)
+		return err
+	}))
 }
 
 // Disk does something to the state that a gateway has on disk: keep (a copy to come back to), old (back to that copy),
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -21,6 +21,8 @@
 // Process is one process of a gateway.
 type Process struct {
 	Name     string
+	version  string
+	env      []string
 	cmd      *exec.Cmd
 	operator string
 	mu       sync.Mutex
@@ -34,6 +36,9 @@
 // start starts a process that is ended with the lab, and when the lab's own process dies.
 func (l *Lab) start(g *Gateway) (*Process, error) {
 	args := append([]string(nil), l.Program[1:]...)
+	g.mu.Lock()
+	version, env := g.version, g.env
+	g.mu.Unlock()
 	if l.Fleet {
 		if err := g.joinFleet(); err != nil {
 			return nil, err
@@ -43,7 +48,7 @@
 	cmd := exec.Command(l.Program[0], args...)
 	cmd.Dir = g.dir
 	cmd.Env = append(append(os.Environ(), "NODE_CONFIG="+g.config, "TMPDIR="+g.dir,
-		fmt.Sprintf("NODE_OPERATOR=127.77.3.%d:0", g.n+1)), l.Env...)
+		fmt.Sprintf("NODE_OPERATOR=127.77.3.%d:0", g.n+1), "QUILLRAIL_TEST_VERSION="+version), append(append([]string(nil), l.Env...), env...)...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, in, err := os.Pipe()
 	if err != nil {
@@ -56,7 +61,7 @@
 		out.Close()
 		return nil, err
 	}
-	p := &Process{Name: g.Name, cmd: cmd, more: make(chan struct{}), over: make(chan struct{})}
+	p := &Process{Name: g.Name, version: version, env: env, cmd: cmd, more: make(chan struct{}), over: make(chan struct{})}
 	go p.read(out)
 	line, err := p.Await("operators are heard", startLimit)
 	if err != nil {
@@ -133,6 +138,16 @@
 	}
 }
 
+// Runs reports whether the process has not ended.
+func (p *Process) Runs() bool {
+	select {
+	case <-p.over:
+		return false
+	default:
+		return true
+	}
+}
+
 // End sends a signal and waits until the process has ended, at most 20 s; then it is killed.
 func (p *Process) End(sig syscall.Signal) error {
 	p.Signal(sig)
--- a/internal/lab/serve.go
+++ b/internal/lab/serve.go
@@ -142,6 +142,7 @@
 }
 
 func (w *Worker) call(id string, f map[string]string, body string, say func(string, ...any)) {
+	w.inside(f["path"], body)
 	ok, life := w.take(true)
 	if !ok {
 		return
@@ -181,6 +182,7 @@
 }
 
 func (w *Worker) order(tag string, f map[string]string, say func(string, ...any)) {
+	w.inside(f["path"], "")
 	if ok, _ := w.take(false); !ok {
 		return
 	}
@@ -202,6 +204,7 @@
 		l.keyed[at] = time.Now()
 	}
 	l.counts.Runs++
+	l.ranAt[body] = hall
 	if l.runs[body]++; l.runs[body] > 1 && body != "" && body[0] != 'r' {
 		l.counts.Twice++
 	}
--- a/internal/lifecycle/agreed.go
+++ b/internal/lifecycle/agreed.go
@@ -15,11 +15,19 @@
 	"quillrail/internal/fleet/recover"
 	"quillrail/internal/fleet/site"
 	"quillrail/internal/roster"
+	"quillrail/internal/wire/httpfront"
 )
 
 // Version is the program's, as the fleet compares it. The program sets it before anything runs.
 var Version = "unknown"
 
+// Clock is what the program goes by, and Before stands before the core where it is set: tests have a clock that is off and a
+// version that misbehaves. Nothing else sets them, and nothing does once the program runs.
+var (
+	Clock  = core.WallClock
+	Before func(httpfront.Taker) httpfront.Taker
+)
+
 // agreeing adds the part that keeps what the fleet has agreed, where the file says so.
 func (g *Gateway) agreeing(c *Config) {
 	f := c.Fleet
--- a/internal/lifecycle/build.go
+++ b/internal/lifecycle/build.go
@@ -66,6 +66,9 @@
 	if g.fresh || g.accord != nil {
 		g.taker = &gate{g.core, g}
 	}
+	if Before != nil {
+		g.taker = Before(g.taker)
+	}
 	if c.Side.Enabled && c.Side.Calls.Broker != "" {
 		opt, keep := c.Side.callOptions(c.Name)
 		g.calls = mqtt.NewFront(loop, net, g.taker, c.Site, opt, keep, c.Seed, observe, log.Named("mqtt.calls"))
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -34,7 +34,7 @@
 	Site     *settings.Site
 	Side     *Side
 	Fleet    *fleet.Settings // nil or not enabled: this gateway knows of no other
-	ID       string          // of the configuration\'s text
+	ID       string          // its revision, or what is left of its text
 }
 
 // clients is the number of clients' connections that are held: the third that the platform allows them, and a
@@ -51,6 +51,7 @@
 
 type configFile struct {
 	Name     string `json:"name"`
+	Revision string `json:"revision"` // the same at all gateways that have the same one, whatever else differs among them
 	Listen   string `json:"listen"`
 	Operator string `json:"operator"`
 	Seed     string `json:"seed"`
@@ -97,8 +98,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	sum := sha256.Sum256(text)
-	c.ID = hex.EncodeToString(sum[:4])
+	if sum := sha256.Sum256(text); c.ID == "" {
+		c.ID = hex.EncodeToString(sum[:4])
+	}
 	if name := os.Getenv("NODE_NAME"); name != "" {
 		c.Name = name
 	}
@@ -127,7 +129,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("seed %q is not 16 hex digits", f.Seed)
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Operator: f.Operator, Seed: seed, Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
+	if len(f.Revision) > 64 {
+		return nil, fmt.Errorf("revision has %d bytes, 64 at most", len(f.Revision))
+	}
+	c := &Config{Name: f.Name, ID: f.Revision, Listen: f.Listen, Operator: f.Operator, Seed: seed, Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
 		Sockets: f.Limits.Sockets, Bulletin: f.Bulletin}
 	if c.Site, err = settings.Parse(f.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
--- a/internal/lifecycle/end.go
+++ b/internal/lifecycle/end.go
@@ -108,9 +108,17 @@
 	if g.accord != nil {
 		g.accord.Stop()
 	}
-	if g.node != nil {
-		g.node.Stop(g.done)
+	if g.node != nil { // a new process takes this one's place in the fleet, and its file, once the link to it ends
+		g.node.Stop(g.stopped)
 		return
 	}
+	g.stopped()
+}
+
+// stopped ends the process.
+func (g *Gateway) stopped() {
+	if g.up != nil {
+		g.up.part()
+	}
 	g.done()
 }
--- a/internal/lifecycle/fleet.go
+++ b/internal/lifecycle/fleet.go
@@ -126,6 +126,14 @@
 	g *Gateway
 }
 
+// Count notes a call that was answered before the core had it: those that compare versions count it as well.
+func (t *gate) Count(class int, answer string) {
+	t.Core.Count(class, answer)
+	if t.g.accord != nil {
+		t.g.accord.Count(class, answer)
+	}
+}
+
 // Take refuses a call that is not admitted yet; nothing has run.
 func (t *gate) Take(call core.Call) core.Ref {
 	ok, pause, why := true, time.Duration(0), ""
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -74,7 +74,7 @@
 func Serve(ctx context.Context, c *Config, hup <-chan os.Signal, log *zap.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	debug.SetMemoryLimit(int64(memoryPart * float64(c.MemoryMB) * (1 << 20)))
-	g, err := Start(c, core.WallClock, log)
+	g, err := Start(c, Clock, log)
 	if err != nil {
 		return err
 	}
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -229,6 +229,10 @@
 		u.door.Close()
 	}
 	u.saver.Close()
+}
+
+// part ends the link to the other process: it has the gateway to itself from then on.
+func (u *upgrade) part() {
 	for _, p := range []*handover.Peer{u.from, u.to} {
 		if p != nil {
 			p.Close()
--- a/internal/wire/opfront/front.go
+++ b/internal/wire/opfront/front.go
@@ -101,7 +101,7 @@
 	}
 	c.answered = true
 	c.f.desk.Do(call, func(text string, err error) {
-		if call.Name != "ready" && call.Name != "show-stat" && call.Name != "wanted" { // these come every second
+		if !forms[call.Name].asks { // these may come every second
 			c.f.log.Info("operator's call", zap.String("call", call.Name), zap.String("id", call.ID), zap.Error(err))
 		}
 		if err != nil {
--- a/internal/wire/opfront/parser.go
+++ b/internal/wire/opfront/parser.go
@@ -22,10 +22,12 @@
 type form struct {
 	id, optional bool // a word, which may be missing
 	options      bool
+	asks         bool // it changes nothing
 }
 
-var forms = map[string]form{"ready": {}, "show-stat": {}, "disable-server": {id: true, options: true}, "enable-server": {id: true, options: true},
-	"drain": {options: true}, "resume": {options: true}, "agreed": {}, "wanted": {id: true, optional: true}, "declare": {id: true, options: true}}
+var forms = map[string]form{"ready": {asks: true}, "show-stat": {asks: true}, "disable-server": {id: true, options: true}, "enable-server": {id: true, options: true},
+	"drain": {options: true}, "resume": {options: true}, "agreed": {asks: true},
+	"wanted": {id: true, optional: true, asks: true}, "declare": {id: true, options: true}}
 
 // The faults of a call.
 var (
