--- a/internal/fleet/accord/show.go
+++ b/internal/fleet/accord/show.go
@@ -128,12 +128,13 @@
 }
 
 func (a *Accord) showRelease(st *agree.State, r *change.Release, say func(string, ...any)) {
-	way := "forwards"
-	if r.Backward {
-		way = "back"
-	}
-	line := fmt.Sprintf("release %s of %s: %s to %q, %s %s", r.Name, r.By, r.What, r.To, r.Course, way)
+	line := fmt.Sprintf("release %s of %s: %s to %q, %s", r.Name, r.By, r.What, r.To, r.Course)
 	if r.Course < change.Done {
+		way := " forwards"
+		if r.Backward {
+			way = " backwards"
+		}
+		line += way
 		line += fmt.Sprintf(", wave %d of %d", r.Wave+1, len(r.Waves))
 	}
 	if r.Stood > 0 {
