Read all that is in a socket before its peer's hang-up ends the connection

Cause: nbio reads a connection at most three times an event, 96 KB, and then ends it if the same event says that the peer has hung up (its MaxConnReadTimesPerEventLoop; sock.Serve left it at the default). Answers that a worker wrote just before it closed were lost where more than that was waiting, and their calls ended as reset: keyed ones outside the hall and unsafe ones as failed.

Ruled out: the parser and the turn, which take what they are given in order.

Change: 256 reads an event, more than the kernel holds for one connection.

--- a/internal/wire/sock/sock.go
+++ b/internal/wire/sock/sock.go
@@ -45,6 +45,10 @@
 const (
 	readBuffer  = 32 << 10
 	writeBuffer = 1 << 20 // most that is kept for a peer that does not read
+
+	// readsPerEvent is how many buffers nbio reads from a connection before it looks at whether the peer has hung up. What
+	// is unread then is lost, so it has to be more than the kernel holds for one connection (6 MB by default).
+	readsPerEvent = 256
 )
 
 var once sync.Once
@@ -112,7 +116,7 @@
 		nbio.MaxOpenFiles = max(1024, 2*sockets) // nbio keeps an array of so many; its default takes 16 MB
 	})
 	conf := nbio.Config{Name: "quillrail", Network: "tcp", NPoller: 1, ReadBufferSize: readBuffer,
-		MaxWriteBufferSize: writeBuffer}
+		MaxWriteBufferSize: writeBuffer, MaxConnReadTimesPerEventLoop: readsPerEvent}
 	n := &Net{}
 	bell, err := n.reaper.open()
 	if err != nil {
