Take back what is unwritten when its worker drains or its client has left

Change: an outbox whose calls and orders can be taken out until they are written (workerlink/outbox.go); Workers.Withdraw after each change of the list, ban or hold; Workers.Unsend at a request's end; Reply.Left, set by the I/O goroutine and asked before each attempt and as it is written; nothing more to a connection with unsent bytes, which fails after 250 ms. link.go, 540 lines, becomes pool.go, send.go, conn.go, answer.go and outbox.go.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -30,6 +30,9 @@
 	// Refused says that trying again is harmless; why is the reason where there is one beside the load, else "".
 	Refused(pause time.Duration, why string)
 	Failed(why Failure)
+	// Left reports whether the caller is known to wait no longer. It may be true before the core has been told so by Gone,
+	// since the I/O goroutine notes it as soon as it sees it.
+	Left() bool
 }
 
 // Failure tells a front how to word an answer that promises nothing.
@@ -56,6 +59,10 @@
 type Workers interface {
 	Send(a Attempt)
 	Cancel(host string, attempt Ref) // the attempt is given up: nothing more is said of it
+	// Unsend takes an attempt back that has not been written yet, and reports whether it could. Its end is the core's to tell.
+	Unsend(host string, attempt Ref) bool
+	// Withdraw takes back all attempts and orders that have not been written yet to workers that may get nothing new.
+	Withdraw(mayGet func(host string) bool)
 	Load(order Ref, host, function string, copies int)
 	Probe(probe Ref, host string)
 	Forget(host string, order Ref) // nobody waits for the order or probe any more; an order stands
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -101,7 +101,17 @@
 	for i, m := range members {
 		hosts[i] = m.Host
 	}
-	c.handle(c.roster.List(whole, hosts))
+	c.change(c.roster.List(whole, hosts))
+}
+
+// change tells the module of workers that have changed. What is still unwritten to those that may get nothing new is taken
+// back afterwards, so that the module doesn't choose them again for it.
+func (c *Core) change(ev decide.List) {
+	if len(ev.Hosts) == 0 && !ev.Whole {
+		return
+	}
+	c.handle(ev)
+	c.workers.Withdraw(c.roster.Usable)
 }
 
 // Take takes in a request. The Ref it returns is zero when the request was answered at once.
@@ -132,26 +142,38 @@
 // Gone says that nobody waits for a request any more.
 func (c *Core) Gone(ref Ref) {
 	if r, ok := c.requests.Get(ref); ok {
-		c.close(r, "gone")
-		c.handle(decide.ClientGone{ID: uint64(ref)})
+		c.end(r, "gone")
+	}
+}
+
+// end closes a request that the module has not answered, tells it so and takes back what has not left.
+func (c *Core) end(r *request, answer string) {
+	c.close(r, answer)
+	if answer != "gone" {
+		r.call.Reply.Failed(TimedOut)
+	}
+	c.handle(decide.ClientGone{ID: uint64(r.ref)})
+	c.unsend(r)
+}
+
+// unsend takes back the attempts of an ended request that have not been written yet, also where the site has no cancelling.
+func (c *Core) unsend(r *request) {
+	for _, ref := range r.shots {
+		if a, out := c.attempts.Get(ref); out && c.workers.Unsend(a.host, ref) {
+			c.Ended(ref, End{How: decide.Nop})
+		}
 	}
 }
 
 // expire is the last guard on the rule that each request has its answer in time.
 func (c *Core) expire(r *request) {
 	c.log.Error("request left open past its deadline", zap.String("id", r.call.ID), zap.Int("attempts", len(r.shots)))
-	c.close(r, "failed")
-	r.call.Reply.Failed(TimedOut)
-	c.handle(decide.ClientGone{ID: uint64(r.ref)})
+	c.end(r, "failed")
 }
 
 // FailAll gives every open request its final answer, before the process ends.
 func (c *Core) FailAll() {
-	c.requests.Each(func(_ Ref, r *request) {
-		c.close(r, "failed")
-		r.call.Reply.Failed(TimedOut)
-		c.handle(decide.ClientGone{ID: uint64(r.ref)})
-	})
+	c.requests.Each(func(_ Ref, r *request) { c.end(r, "failed") })
 }
 
 func (c *Core) close(r *request, answer string) {
@@ -175,7 +197,12 @@
 	c.loop.Cancel(a.over)
 	c.attempts.Free(ref)
 	r, open := c.requests.Get(a.req)
-	if open && e.How == decide.Good {
+	if open && e.How != decide.Good && r.call.Reply.Left() { // no further attempt begins for it
+		c.Gone(a.req)
+		open = false
+	}
+	served := open && e.How == decide.Good
+	if served {
 		r.last = a.host
 		c.close(r, "served")
 		r.call.Reply.Served(e.Body)
@@ -183,6 +210,9 @@
 	}
 	c.handle(decide.Result{ID: uint64(a.req), Shot: a.shot, Host: a.host, Outcome: e.How,
 		Took: c.loop.Now() - a.at, Final: !open, Note: e.Note, Crowd: -1, Report: e.Report})
+	if served {
+		c.unsend(r)
+	}
 }
 
 // takeOrder ends an order or a probe; nil if it has ended before.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -23,6 +23,9 @@
 	records []core.Record
 	orders  []core.Ref
 	news    []string // workers that something new went to
+
+	unwritten bool     // what is out has not left yet
+	kept      []string // workers that may get nothing new, as last told
 }
 
 // fresh returns the workers that something new went to since the last call.
@@ -42,6 +45,25 @@
 	}
 	b.T.Errorf("attempt %x was given up though it is not out", ref)
 }
+
+// Unsend takes back what the test says is unwritten.
+func (b *bench) Unsend(_ string, ref core.Ref) bool {
+	i := slices.IndexFunc(b.out, func(a core.Attempt) bool { return a.Ref == ref })
+	if i < 0 || !b.unwritten {
+		return false
+	}
+	b.out = slices.Delete(b.out, i, i+1)
+	return true
+}
+
+func (b *bench) Withdraw(mayGet func(string) bool) {
+	for _, name := range []string{"w0", "w1", "w2"} {
+		if !mayGet(name) {
+			b.kept = append(b.kept, name)
+		}
+	}
+}
+
 func (b *bench) Load(ref core.Ref, host, _ string, _ int) {
 	b.orders, b.news = append(b.orders, ref), append(b.news, host)
 }
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -52,8 +52,8 @@
 // Disable leaves a worker out, by hand, until Enable.
 func (c *Core) Disable(id string) error {
 	ev, err := c.roster.Disable(id)
-	if err == nil && len(ev.Hosts) > 0 {
-		c.handle(ev)
+	if err == nil {
+		c.change(ev)
 	}
 	return err
 }
@@ -61,8 +61,8 @@
 // Enable uses a worker again that was left out by hand.
 func (c *Core) Enable(id string) error {
 	ev, err := c.roster.Enable(c.loop.Now(), id)
-	if err == nil && len(ev.Hosts) > 0 {
-		c.handle(ev)
+	if err == nil {
+		c.change(ev)
 	}
 	return err
 }
@@ -81,9 +81,7 @@
 
 // Adopt lays a ban that was laid at the gateway's other process.
 func (c *Core) Adopt(b roster.Ban) {
-	if ev := c.roster.Adopt(b); len(ev.Hosts) > 0 {
-		c.handle(ev)
-	}
+	c.change(c.roster.Adopt(b))
 }
 
 // Vouch has the module judge cold workers by a rate that was served before, in calls a second, and have at most so many loads
@@ -92,9 +90,7 @@
 
 // Hold leaves workers alone that another gateway knows to drain, in place of those that were held before.
 func (c *Core) Hold(ids map[string]bool) {
-	if ev := c.roster.Hold(ids); len(ev.Hosts) > 0 {
-		c.handle(ev)
-	}
+	c.change(c.roster.Hold(ids))
 }
 
 // Avoids reports whether the module avoids a worker that is listed as ready.
--- a/internal/core/gateway.go
+++ b/internal/core/gateway.go
@@ -18,6 +18,13 @@
 		c.handle(decide.Result{ID: id, Host: host, Outcome: decide.Nop, Final: true, Crowd: -1})
 		return
 	}
+	if r.call.Reply.Left() {
+		shot := len(r.shots)
+		r.shots = append(r.shots, 0)
+		c.Gone(r.ref)
+		c.handle(decide.Result{ID: id, Shot: shot, Host: host, Outcome: decide.Nop, Final: true, Crowd: -1})
+		return
+	}
 	if expireAt <= 0 || expireAt > r.deadline {
 		expireAt = r.deadline
 	}
@@ -63,6 +70,7 @@
 	if r, ok := c.requests.Get(Ref(id)); ok {
 		c.close(r, "refused")
 		r.call.Reply.Refused(min(max(0, pause), c.maxPause), "")
+		c.unsend(r)
 	}
 }
 
@@ -75,6 +83,7 @@
 			why = TimedOut
 		}
 		r.call.Reply.Failed(why)
+		c.unsend(r)
 	}
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -150,6 +150,12 @@
 // Listed reports whether a worker is in the list.
 func (r *Roster) Listed(id string) bool { _, ok := r.listed[id]; return ok }
 
+// Usable reports whether a worker may get something new: it is listed as ready and left out by nobody.
+func (r *Roster) Usable(id string) bool {
+	h, listed := r.listed[id]
+	return listed && r.effective(h).State == decide.Ready
+}
+
 // Names are the listed workers, in order.
 func (r *Roster) Names() []string { return slices.Sorted(maps.Keys(r.listed)) }
 
--- a/internal/wire/httpfront/answer.go
+++ b/internal/wire/httpfront/answer.go
@@ -115,6 +115,9 @@
 	}
 }
 
+// Left reports whether the client is known to have closed its connection.
+func (x *exchange) Left() bool { return x.c.left.Load() }
+
 // Served passes on the worker's body unchanged.
 func (x *exchange) Served(body []byte) {
 	x.end(200, "Content-Type: application/octet-stream\r\n", body)
--- a/internal/wire/httpfront/conn.go
+++ b/internal/wire/httpfront/conn.go
@@ -17,6 +17,7 @@
 	parser Parser
 	spilt  int         // bytes read and discarded
 	shut   atomic.Bool // nothing more is taken: the last answer is under way
+	left   atomic.Bool // the client has closed or reset it; the turn may not have been told yet
 
 	ref   core.Ref
 	open  *exchange // the request that is being answered
@@ -64,7 +65,11 @@
 	}
 }
 
-func (c *conn) Closed(error) { c.f.loop.Post(c.closed) }
+// Closed notes at once that the client has left, for what the turn does before it comes to the message.
+func (c *conn) Closed(error) {
+	c.left.Store(true)
+	c.f.loop.Post(c.closed)
+}
 
 func (c *conn) opened() {
 	if c.f.conns.Len() >= c.f.soft {
--- a/internal/wire/mqtt/delivery.go
+++ b/internal/wire/mqtt/delivery.go
@@ -61,6 +61,9 @@
 
 func (x *exchange) close(a core.Answer) { x.keys.Close(x.key, x.entry, a, x.keep) }
 
+// Left is false: who asked by a message has its outcome recorded whether or not it still listens.
+func (x *exchange) Left() bool { return false }
+
 func (x *exchange) Served(body []byte) { x.close(core.Answer{What: served, Body: body}) }
 
 func (x *exchange) Refused(pause time.Duration, why string) {
--- a/internal/wire/mqtt/link.go
+++ b/internal/wire/mqtt/link.go
@@ -149,6 +149,25 @@
 	}
 }
 
+// Unsend takes an attempt back that has not been published yet.
+func (l *Link) Unsend(_ string, ref core.Ref) bool {
+	s, ok := l.open[ref]
+	if !ok || !l.session.Withdraw(s.pending) {
+		return false
+	}
+	delete(l.open, ref)
+	return true
+}
+
+// Withdraw takes back the calls that have not been published yet to workers that may get nothing new.
+func (l *Link) Withdraw(mayGet func(worker string) bool) {
+	for _, ref := range slices.Sorted(maps.Keys(l.open)) {
+		if s := l.open[ref]; !mayGet(s.worker) && l.session.Withdraw(s.pending) {
+			l.end(ref, decide.Nop, decide.NoNote, nil)
+		}
+	}
+}
+
 var outcomes = map[string]decide.Outcome{"ok": decide.Good, "miss": decide.Miss, "busy": decide.Full,
 	"error": decide.Bad, "void": decide.Nop}
 
--- a/internal/wire/wiretest/wiretest.go
+++ b/internal/wire/wiretest/wiretest.go
@@ -109,6 +109,9 @@
 	Slow   int  // what the other end has not made room for yet; see Flush
 }
 
+// Far is the other end.
+func (c *Conn) Far() *Conn { return c.peer }
+
 // Unsent is what Slow says.
 func (c *Conn) Unsent() int { return c.Slow }
 
@@ -201,8 +204,12 @@
 type Replies struct {
 	Answers []string
 	Bodies  []string
+	HasLeft bool // the caller waits no longer, though the core has not been told
 }
 
+// Left says what the test has set.
+func (r *Replies) Left() bool { return r.HasLeft }
+
 func (r *Replies) Served(body []byte) {
 	r.Answers, r.Bodies = append(r.Answers, "served"), append(r.Bodies, string(body))
 }
--- /dev/null
+++ b/internal/wire/workerlink/pool.go
@@ -0,0 +1,162 @@
+package workerlink
+
+import (
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"quillrail/decide"
+	"quillrail/internal/core"
+	"quillrail/internal/settings"
+	"quillrail/internal/wire/sock"
+)
+
+const (
+	spreadOver = 4               // connections among which the calls to one worker are spread first,
+	spreadWith = 4               // with so many on each: all that is open on one ends with it
+	connsEach  = 8               // connections to one worker
+	idleMargin = 3 * time.Second // we close so long before the worker would, or a call could cross its close
+)
+
+// Pool holds the connections to the workers. All of it belongs to the turn.
+type Pool struct {
+	loop  *core.Loop
+	net   sock.Dialer
+	set   *settings.Site
+	ends  core.Ends
+	log   *zap.Logger
+	hosts map[string]*host
+	conns *core.Table[*conn]
+}
+
+// New returns a pool of at most limit connections.
+func New(loop *core.Loop, net sock.Dialer, set *settings.Site, limit int, log *zap.Logger) *Pool {
+	return &Pool{loop: loop, net: net, set: set, log: log, hosts: map[string]*host{}, conns: core.NewTable[*conn](limit)}
+}
+
+// Limit changes how many connections are held at most.
+func (p *Pool) Limit(n int) { p.conns.Limit(n) }
+
+// Serve says who takes the ends.
+func (p *Pool) Serve(e core.Ends) { p.ends = e }
+
+// Conns is the number of connections, those still to come up included.
+func (p *Pool) Conns() int { return p.conns.Len() }
+
+// host is a worker by its id; a new worker at the same address is another host.
+type host struct {
+	name, addr string
+	since      time.Duration
+	gone       bool
+	conns      []*conn
+}
+
+// List takes the workers' addresses. A worker that restarted or moved, or whose address another one has taken,
+// has its connections closed: nothing that is still said on them may count for the new one.
+func (p *Pool) List(whole bool, members []core.Member) {
+	if whole {
+		for _, h := range p.hosts {
+			h.gone = true
+		}
+	}
+	for _, m := range members {
+		p.listed(m)
+	}
+	for name, h := range p.hosts {
+		if h.gone && len(h.conns) == 0 {
+			delete(p.hosts, name)
+		}
+	}
+}
+
+func (p *Pool) listed(m core.Member) {
+	h := p.hosts[m.Name]
+	if h == nil {
+		h = &host{name: m.Name}
+		p.hosts[m.Name] = h
+	} else if h.addr != m.Addr || m.Since > h.since {
+		h.closeAll(errors.New("worker was started anew"))
+	}
+	if h.gone = m.State == decide.Gone; !h.gone {
+		for _, o := range p.hosts {
+			if o != h && o.addr == m.Addr {
+				o.closeAll(errors.New("address was given to another worker"))
+			}
+		}
+	}
+	h.addr, h.since = m.Addr, m.Since
+}
+
+func (h *host) closeAll(why error) {
+	for len(h.conns) > 0 {
+		h.conns[0].fail(decide.Reset, why)
+	}
+}
+
+// Withdraw takes back the calls and orders that are not written yet to workers that may get nothing new: their connection
+// may come up, or take them, when it is too late.
+func (p *Pool) Withdraw(mayGet func(worker string) bool) {
+	p.conns.Each(func(_ core.Ref, c *conn) {
+		if !c.out.empty() && !mayGet(c.h.name) {
+			c.withdraw()
+		}
+	})
+}
+
+// pick returns the fullest connection that suits: the emptier ones may then lie idle and close.
+func (h *host) pick(suits func(*conn) bool) (best *conn) {
+	for _, c := range h.conns {
+		if suits(c) && (best == nil || c.ready && !best.ready || c.ready == best.ready && len(c.open) > len(best.open)) {
+			best = c
+		}
+	}
+	return best
+}
+
+func (p *Pool) dial(h *host) *conn {
+	if len(h.conns) >= connsEach {
+		return nil
+	}
+	c := &conn{p: p, h: h, open: map[string]core.Ref{}, orders: map[string]core.Ref{}, probes: map[string]core.Ref{},
+		used: map[string]bool{}, sent: map[core.Ref]time.Duration{}}
+	ref, ok := p.conns.Put(c)
+	if !ok && p.closeIdle() {
+		ref, ok = p.conns.Put(c)
+	}
+	if !ok {
+		return nil
+	}
+	c.ref = ref
+	h.conns = append(h.conns, c)
+	limit := p.set.ConnectTimeout
+	c.timer = p.loop.After(limit, func() { c.fail(decide.NoConn, errors.New("connect timed out")) })
+	p.net.Dial(h.addr, limit, &reader{c: c}, func(s sock.Conn, err error) {
+		p.loop.Post(func() { c.up(s, err) })
+	})
+	return c
+}
+
+func (p *Pool) closeIdle() bool {
+	var idle *conn
+	p.conns.Each(func(_ core.Ref, c *conn) {
+		if c.ready && c.idle() && (idle == nil || c.timer.Before(idle.timer)) {
+			idle = c
+		}
+	})
+	if idle != nil {
+		idle.fail(decide.Reset, nil)
+	}
+	return idle != nil
+}
+
+// Release closes the connections to a worker that carry nothing.
+func (p *Pool) Release(name string) {
+	if h := p.hosts[name]; h != nil {
+		for _, c := range append([]*conn(nil), h.conns...) {
+			if c.ready && c.idle() {
+				c.fail(decide.Reset, nil)
+			}
+		}
+	}
+}
