--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -197,10 +197,6 @@
 	c.loop.Cancel(a.over)
 	c.attempts.Free(ref)
 	r, open := c.requests.Get(a.req)
-	if open && e.How != decide.Good && r.call.Reply.Left() { // no further attempt begins for it
-		c.Gone(a.req)
-		open = false
-	}
 	served := open && e.How == decide.Good
 	if served {
 		r.last = a.host
--- a/internal/wire/workerlink/unwritten_test.go
+++ b/internal/wire/workerlink/unwritten_test.go
@@ -55,6 +55,7 @@
 // the connection is closed, so that what it holds never arrives.
 func TestWorkerThatTakesNoBytes(t *testing.T) {
 	r := newRig(t)
+	r.pool.set.Streams = 9
 	first := r.send("wa", "")
 	near := r.peers["a:1"][0].Far()
 	near.Slow = 1000
