Answer what comes as its connection is closed, and keep descriptors for the gateway itself

Ruled out: the worker side (a connection with anything open is not closed as idle) and the linger after a last answer.

Change: Conn.CloseUnlessMore, decided on the poller's goroutine by what it has delivered and what is in the socket; a request that comes all the same is answered and ends the connection; half of one is told 503 at the end of the process. The listener accepts no more than the front's limit and eight. The size of nbio's array is set as each engine starts; Flusher off the lock.

--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -151,7 +151,7 @@
 
 func servesAndDrains(t *testing.T, side *Side, drained bool) {
 	hold := make(chan struct{})
-	workers, err := sock.Listen("127.0.0.1:0", 64, func(c sock.Conn) sock.Handler { return &worker{c, hold} }, zap.NewNop())
+	workers, err := sock.Listen("127.0.0.1:0", sock.Limits{Descriptors: 64, Accepted: 64}, func(c sock.Conn) sock.Handler { return &worker{c, hold} }, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -26,7 +26,8 @@
 )
 
 const (
-	ownSockets    = 32                     // descriptors kept for the process itself
+	ownSockets    = 32                     // descriptors kept for the process itself, and of these
+	acceptMargin  = 8                      // for clients' connections that the front has still to turn away
 	platformComes = 400 * time.Millisecond // after SIGTERM new connections go on coming for so long,
 	keepAccept    = 700 * time.Millisecond // and calls for so long
 	longestDrain  = 3 * time.Second        // a longer deadline counts as this to the platform
@@ -116,12 +117,12 @@
 			return nil, err
 		}
 	}
-	if g.net, err = sock.Serve(ln, c.Sockets, g.front.Accept, log); err != nil {
+	if g.net, err = sock.Serve(ln, sock.Limits{Descriptors: c.Sockets, Accepted: c.clients() + acceptMargin}, g.front.Accept, log); err != nil {
 		return nil, err
 	}
 	if c.Operator != "" {
 		door := opfront.New(loop, (*desk)(g), log.Named("operator"))
-		if g.door, err = sock.Listen(c.Operator, opfront.Sockets, door.Accept, log); err != nil {
+		if g.door, err = sock.Listen(c.Operator, sock.Limits{Descriptors: c.Sockets, Accepted: opfront.Sockets}, door.Accept, log); err != nil {
 			g.net.Stop()
 			return nil, err
 		}
--- a/internal/wire/httpfront/conn.go
+++ b/internal/wire/httpfront/conn.go
@@ -20,6 +20,8 @@
 	left   atomic.Bool // the client has closed or reset it; the turn may not have been told yet
 
 	ref   core.Ref
+	taken int       // calls of Data that the turn has come to
+	parts bool      // is to be closed, unless more comes: that is answered first
 	open  *exchange // the request that is being answered
 	queue []*Request
 	out   []byte
@@ -95,10 +97,30 @@
 			c.respond(408, "", nil, true)
 			return
 		}
-		c.drop()
+		if c.last || c.slow { // its answer has had its time
+			c.drop()
+			return
+		}
+		c.part()
 	})
 }
 
+// part closes a connection without an open request. Bytes may have come meanwhile, to the mailbox or the socket: then it stays,
+// and their request is answered and ends it.
+func (c *conn) part() {
+	c.parts = true
+	c.sock.CloseUnlessMore(c.taken)
+}
+
+// stay goes on with a connection that was to be closed and has had more, but no whole request.
+func (c *conn) stay() {
+	if c.busy {
+		c.rest(readLimit)
+		return
+	}
+	c.part()
+}
+
 // settle is rest after an answer: for the next request, of which a part may be there.
 func (c *conn) settle() {
 	if c.busy {
@@ -109,6 +131,7 @@
 }
 
 func (c *conn) take(got []*Request, busy bool, err error) {
+	c.taken++
 	if c.gone || c.last {
 		return
 	}
@@ -122,6 +145,9 @@
 	}
 	c.busy = busy
 	c.next()
+	if c.parts && err == nil && c.open == nil && !c.last {
+		c.stay()
+	}
 	if err != nil {
 		c.f.log.Info("bad request", zap.Error(err))
 		c.queue, c.spill = nil, true
@@ -144,7 +170,7 @@
 }
 
 func (c *conn) begin(r *Request) {
-	last := r.Close || c.f.closing || c.f.parting
+	last := r.Close || c.parts || c.f.closing || c.f.parting
 	if r.Method == "GET" && r.Path == "/check" {
 		if c.f.ready && !c.f.away {
 			c.respond(200, "", []byte("ready\n"), last)
--- a/internal/wire/httpfront/front.go
+++ b/internal/wire/httpfront/front.go
@@ -107,7 +107,7 @@
 		switch {
 		case c.open != nil || c.last || c.slow:
 		case !c.busy:
-			c.drop()
+			c.part()
 		case f.shut:
 			c.spill = true
 			c.respond(503, awayFields, nil, true)
@@ -124,8 +124,13 @@
 		if c.open != nil {
 			return
 		}
-		if c.last = c.last || c.slow || len(c.out) > 0; !c.last { // an answer still has to go out
-			c.drop()
+		switch c.last = c.last || c.slow || len(c.out) > 0; {
+		case c.last: // an answer still has to go out
+		case c.busy: // the rest of its request comes too late
+			c.spill = true
+			c.respond(503, awayFields, nil, true)
+		default:
+			c.part()
 		}
 	})
 }
--- a/internal/wire/mqtt/mqtt_test.go
+++ b/internal/wire/mqtt/mqtt_test.go
@@ -544,12 +544,12 @@
 	var mu sync.Mutex
 	b := newBroker()
 	b.holdAcks = true
-	host, err := sock.Listen("127.0.0.1:0", 256, func(c sock.Conn) sock.Handler { return locked{&mu, b.accept(c)} }, zap.NewNop())
+	host, err := sock.Listen("127.0.0.1:0", sock.Limits{Descriptors: 256, Accepted: 256}, func(c sock.Conn) sock.Handler { return locked{&mu, b.accept(c)} }, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer host.Stop()
-	net, err := sock.Listen("", 256, nil, zap.NewNop())
+	net, err := sock.Listen("", sock.Limits{Descriptors: 256, Accepted: 256}, nil, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/wire/sock/conn.go
+++ b/internal/wire/sock/conn.go
@@ -12,17 +12,20 @@
 // session holds a connection's handler. The goroutine that accepts or dials hands it to the poller's through the
 // kernel, which the race detector does not see; the lock lets it.
 type session struct {
-	mu     sync.Mutex
-	h      Handler
-	unsent atomic.Int64
-	asked  atomic.Bool // somebody waits for unsent to become 0
+	mu        sync.Mutex
+	h         Handler
+	unsent    atomic.Int64
+	asked     atomic.Bool  // somebody waits for unsent to become 0
+	delivered atomic.Int64 // calls of Data
+	accepted  bool         // not dialled
 }
 
-// took counts down what the kernel has taken. It runs under nbio's lock on the connection.
+// took counts down what the kernel has taken. It runs under nbio's lock on the connection, so the Flusher, which may have to
+// wait for the turn, is told on a goroutine of its own: the turn may wait for that lock.
 func (s *session) took(n int) {
 	if s.unsent.Add(int64(-n)) == 0 && s.asked.Swap(false) {
 		if f, ok := s.get().(Flusher); ok {
-			f.Flushed()
+			go f.Flushed()
 		}
 	}
 }
@@ -36,10 +39,15 @@
 
 // Close has the connection closed soon, on the poller's goroutine; what was written before still goes out.
 func (c *conn) Close() error {
-	c.n.reaper.close(c.Conn)
+	c.n.reaper.close(closing{c: c.Conn})
 	return nil
 }
 
+// CloseUnlessMore asks the poller's goroutine, which alone knows what it has delivered and what is still in the socket.
+func (c *conn) CloseUnlessMore(taken int) {
+	c.n.reaper.close(closing{c: c.Conn, s: c.s, taken: int64(taken)})
+}
+
 // Write has nbio write, unless the peer has reset the connection: nbio would close the descriptor here and not on the
 // poller's goroutine, where it may be another connection's by the time of the reset's event, and that one would lose its answer.
 func (c *conn) Write(b []byte) (int, error) {
@@ -66,9 +74,9 @@
 	return 0
 }
 
-func (s *session) set(h Handler) {
+func (s *session) set(h Handler, accepted bool) {
 	s.mu.Lock()
-	s.h = h
+	s.h, s.accepted = h, accepted
 	s.mu.Unlock()
 }
 
--- /dev/null
+++ b/internal/wire/sock/listener.go
@@ -0,0 +1,89 @@
+package sock
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"net"
+	"runtime"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// listener can be closed while its engine goes on: nbio would try to accept again at once, for good. It accepts nothing more
+// while most accepted connections are open, so that clients cannot use up the descriptors that dialled connections need.
+type listener struct {
+	net.Listener
+	once sync.Once
+	over chan struct{} // the engine ends
+
+	mu    sync.Mutex
+	freed sync.Cond
+	most  int
+	open  int // accepted connections
+	ended bool
+}
+
+func newListener(ln net.Listener, most int) *listener {
+	l := &listener{Listener: ln, over: make(chan struct{}), most: most}
+	l.freed.L = &l.mu
+	return l
+}
+
+// Accept waits for room and then for a connection.
+func (l *listener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	for l.open >= l.most && !l.ended {
+		l.freed.Wait()
+	}
+	l.mu.Unlock()
+	c, err := l.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		<-l.over
+		runtime.Goexit() // an engine stopped before its acceptor began would have that try for good
+	}
+	return c, err
+}
+
+// opened counts a connection; the engine calls it before the next Accept.
+func (l *listener) opened() {
+	l.mu.Lock()
+	l.open++
+	l.mu.Unlock()
+}
+
+// closed makes room for another.
+func (l *listener) closed() {
+	l.mu.Lock()
+	l.open--
+	l.mu.Unlock()
+	l.freed.Signal()
+}
+
+// Close is the engine's end.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		l.mu.Lock()
+		l.ended = true
+		l.mu.Unlock()
+		l.freed.Broadcast()
+		close(l.over)
+	})
+	return l.Listener.Close()
+}
+
+// Bind opens a listening socket. shared lets another process of the gateway bind the same address.
+func Bind(addr string, shared bool) (net.Listener, error) {
+	var conf net.ListenConfig
+	if shared {
+		conf.Control = func(_, _ string, c syscall.RawConn) (err error) {
+			err2 := c.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+			})
+			return cmp.Or(err, err2)
+		}
+	}
+	return conf.Listen(context.Background(), "tcp", addr)
+}
--- a/internal/wire/sock/read_test.go
+++ b/internal/wire/sock/read_test.go
@@ -33,7 +33,7 @@
 func TestBytesBeforeAHangUpAreRead(t *testing.T) {
 	const size = 512 << 10
 	release, begun, closed := make(chan struct{}), make(chan struct{}), make(chan int, 1)
-	n, err := Listen("127.0.0.1:0", 64, func(Conn) Handler {
+	n, err := Listen("127.0.0.1:0", Limits{Descriptors: 64, Accepted: 64}, func(Conn) Handler {
 		return &counter{release: release, begun: begun, closed: closed}
 	}, zap.NewNop())
 	if err != nil {
--- a/internal/wire/sock/reaper.go
+++ b/internal/wire/sock/reaper.go
@@ -14,10 +14,17 @@
 // the new connection's bytes for the old one, or close the new one because the old one's peer hung up.
 type reaper struct {
 	mu   sync.Mutex
-	due  []*nbio.Conn
+	due  []closing
 	ring *os.File // wakes the poller
 }
 
+// closing is a connection that is to be closed.
+type closing struct {
+	c     *nbio.Conn
+	s     *session // not nil: unless more has come than
+	taken int64    // so many calls of Data
+}
+
 // open returns the connection that the poller hears the ring by.
 func (r *reaper) open() (*nbio.Conn, error) {
 	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
@@ -39,12 +46,12 @@
 		return nil, err
 	}
 	s := new(session)
-	s.set(r)
+	s.set(r, false)
 	c.SetSession(s)
 	return c, nil
 }
 
-func (r *reaper) close(c *nbio.Conn) {
+func (r *reaper) close(c closing) {
 	r.mu.Lock()
 	r.due = append(r.due, c)
 	first := len(r.due) == 1
@@ -61,13 +68,22 @@
 	due := r.due
 	r.due = nil
 	r.mu.Unlock()
-	for _, c := range due {
-		if closed, _ := c.IsClosed(); !closed {
-			unix.Shutdown(c.Hash(), unix.SHUT_RDWR)
+	for _, d := range due {
+		if closed, _ := d.c.IsClosed(); !closed && !d.more() {
+			unix.Shutdown(d.c.Hash(), unix.SHUT_RDWR)
 		}
 	}
 	return nil
 }
 
+// more reports whether a connection that was to be closed only if nothing has come has had more.
+func (d closing) more() bool {
+	if d.s == nil {
+		return false
+	}
+	waiting, err := unix.IoctlGetInt(d.c.Hash(), unix.TIOCINQ)
+	return d.s.delivered.Load() != d.taken || err == nil && waiting > 0
+}
+
 // Closed ends the ring with the engine.
 func (r *reaper) Closed(error) { r.ring.Close() }
--- a/internal/wire/sock/sock.go
+++ b/internal/wire/sock/sock.go
@@ -3,19 +3,14 @@
 package sock
 
 import (
-	"cmp"
-	"context"
 	"errors"
 	"net"
-	"runtime"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 )
 
 // Conn is what the rest of the program needs of a connection. Write never blocks: what the peer does not
@@ -23,6 +18,9 @@
 type Conn interface {
 	Write([]byte) (int, error)
 	Close() error
+	// CloseUnlessMore closes the connection unless more has come, to the Handler or as far as the socket, than the given
+	// number of calls of Data. What has come stays owed: the Handler is or will be told of it.
+	CloseUnlessMore(taken int)
 	// Unsent is how much of what was written the kernel has not taken yet. A close would lose it. Where it is not
 	// 0, a Handler that is a Flusher is told once when it has become so.
 	Unsent() int
@@ -49,9 +47,22 @@
 	// readsPerEvent is how many buffers nbio reads from a connection before it looks at whether the peer has hung up. What
 	// is unread then is lost, so it has to be more than the kernel holds for one connection (6 MB by default).
 	readsPerEvent = 256
+
+	leastFiles = 1024 // places of nbio's array of descriptors, which it otherwise takes 16 MB for
 )
 
-var once sync.Once
+// Limits bound what an engine may hold.
+type Limits struct {
+	Descriptors int // of the process
+	Accepted    int // connections that are accepted and open; further ones wait to be accepted
+}
+
+// nbio has its logger and the size of an engine's array of descriptors in package variables. The first is read by running
+// engines, so it is set once; the second is read as an engine starts, and guarded while one does.
+var (
+	setLogger sync.Once
+	starting  sync.Mutex
+)
 
 // Net runs the sockets of one listener and of any number of dialled connections.
 type Net struct {
@@ -60,61 +71,25 @@
 	reaper reaper
 }
 
-// listener can be closed while its engine goes on: nbio would try to accept again at once, for good.
-type listener struct {
-	net.Listener
-	once sync.Once
-	over chan struct{} // the engine ends
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if errors.Is(err, net.ErrClosed) {
-		<-l.over
-		runtime.Goexit() // an engine stopped before its acceptor began would have that try for good
-	}
-	return c, err
-}
-
-// Close is the engine's end.
-func (l *listener) Close() error {
-	l.once.Do(func() { close(l.over) })
-	return l.Listener.Close()
-}
-
-// Bind opens a listening socket. shared lets another process of the gateway bind the same address.
-func Bind(addr string, shared bool) (net.Listener, error) {
-	var conf net.ListenConfig
-	if shared {
-		conf.Control = func(_, _ string, c syscall.RawConn) (err error) {
-			err2 := c.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
-			})
-			return cmp.Or(err, err2)
-		}
-	}
-	return conf.Listen(context.Background(), "tcp", addr)
-}
-
 // Listen starts an engine. With an address, accepted connections go to accept, which must not close them yet;
-// with none the engine only dials. sockets is the limit on descriptors.
-func Listen(addr string, sockets int, accept func(Conn) Handler, log *zap.Logger) (*Net, error) {
+// with none the engine only dials.
+func Listen(addr string, limits Limits, accept func(Conn) Handler, log *zap.Logger) (*Net, error) {
 	if addr == "" {
-		return Serve(nil, sockets, accept, log)
+		return Serve(nil, limits, accept, log)
 	}
 	ln, err := Bind(addr, false)
 	if err != nil {
 		return nil, err
 	}
-	return Serve(ln, sockets, accept, log)
+	return Serve(ln, limits, accept, log)
 }
 
 // Serve is Listen on a socket that is open already. It is closed with the engine, or if this fails.
-func Serve(ln net.Listener, sockets int, accept func(Conn) Handler, log *zap.Logger) (*Net, error) {
-	once.Do(func() { // both are nbio's globals, and must not change under a running engine
-		logging.SetLogger(quiet{log.Named("nbio").Sugar()})
-		nbio.MaxOpenFiles = max(1024, 2*sockets) // nbio keeps an array of so many; its default takes 16 MB
-	})
+func Serve(ln net.Listener, limits Limits, accept func(Conn) Handler, log *zap.Logger) (*Net, error) {
+	starting.Lock()
+	defer starting.Unlock()
+	setLogger.Do(func() { logging.SetLogger(quiet{log.Named("nbio").Sugar()}) })
+	nbio.MaxOpenFiles = max(leastFiles, 2*limits.Descriptors)
 	conf := nbio.Config{Name: "quillrail", Network: "tcp", NPoller: 1, ReadBufferSize: readBuffer,
 		MaxWriteBufferSize: writeBuffer, MaxConnReadTimesPerEventLoop: readsPerEvent}
 	n := &Net{}
@@ -126,7 +101,7 @@
 		return nil, err
 	}
 	if ln != nil {
-		n.ln = &listener{Listener: ln, over: make(chan struct{})}
+		n.ln = newListener(ln, limits.Accepted)
 		conf.Addrs = []string{ln.Addr().String()}
 		conf.Listen = func(string, string) (net.Listener, error) { return n.ln, nil }
 	}
@@ -136,7 +111,8 @@
 			return
 		}
 		s := new(session)
-		s.set(accept(&conn{c, s, n}))
+		n.ln.opened()
+		s.set(accept(&conn{c, s, n}), true)
 		c.SetSession(s)
 	})
 	n.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
@@ -146,7 +122,9 @@
 	})
 	n.engine.OnData(func(c *nbio.Conn, b []byte) {
 		if s, ok := c.Session().(*session); ok {
-			if err := s.get().Data(b); err != nil {
+			h := s.get()
+			s.delivered.Add(1)
+			if err := h.Data(b); err != nil {
 				c.CloseWithError(err)
 			}
 		}
@@ -154,6 +132,9 @@
 	n.engine.OnClose(func(c *nbio.Conn, err error) {
 		if s, ok := c.Session().(*session); ok {
 			s.get().Closed(err)
+			if s.accepted {
+				n.ln.closed()
+			}
 		}
 	})
 	// Without a pause nbio would spin when accepting fails for want of descriptors.
@@ -205,7 +186,7 @@
 			return
 		}
 		s := new(session)
-		s.set(h)
+		s.set(h, false)
 		c.SetSession(s)
 		if _, err := n.engine.AddConn(c); err != nil {
 			done(nil, err)
@@ -217,12 +198,3 @@
 
 // Stop closes the listener and every connection.
 func (n *Net) Stop() { n.engine.Stop() }
-
-// quiet sends nbio's own lines to our log; what it calls errors are mostly peers that went away.
-type quiet struct{ *zap.SugaredLogger }
-
-func (q quiet) SetLevel(int)                  {}
-func (q quiet) Debug(format string, v ...any) { q.Debugf(format, v...) }
-func (q quiet) Info(format string, v ...any)  { q.Debugf(format, v...) }
-func (q quiet) Warn(format string, v ...any)  { q.Warnf(format, v...) }
-func (q quiet) Error(format string, v ...any) { q.Warnf(format, v...) }
--- a/internal/wire/sock/sock_test.go
+++ b/internal/wire/sock/sock_test.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &listener{Listener: ln, over: make(chan struct{})}
+	l := newListener(ln, 1)
 	l.Close()
 	returned, ended := false, make(chan struct{})
 	go func() {
@@ -52,7 +52,7 @@
 			f()
 		}
 	}()
-	n, err := Listen("127.0.0.1:0", 256, func(c Conn) Handler { return &answerer{c, turn} }, zap.NewNop())
+	n, err := Listen("127.0.0.1:0", Limits{Descriptors: 256, Accepted: 256}, func(c Conn) Handler { return &answerer{c, turn} }, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/wire/wiretest/wiretest.go
+++ b/internal/wire/wiretest/wiretest.go
@@ -105,6 +105,7 @@
 	h      sock.Handler
 	peer   *Conn
 	closed bool
+	came   int  // deliveries to its handler
 	Stuck  bool // swallows what is written to it, as a machine that has vanished does
 	Slow   int  // what the other end has not made room for yet; see Flush
 }
@@ -136,6 +137,7 @@
 		rest = rest[n:]
 		c.w.steps = append(c.w.steps, func() {
 			if p := c.peer; !p.closed && !p.Stuck && !c.Stuck {
+				p.came++
 				if err := p.h.Data(part); err != nil {
 					p.end(err)
 				}
@@ -151,6 +153,15 @@
 	return nil
 }
 
+// CloseUnlessMore ends the connection once it is this step's turn, unless more has been delivered than was taken.
+func (c *Conn) CloseUnlessMore(taken int) {
+	c.w.steps = append(c.w.steps, func() {
+		if c.came == taken {
+			c.end(nil)
+		}
+	})
+}
+
 func (c *Conn) end(err error) {
 	if c.closed {
 		return
