Name the setting and the value that keeps a gateway from starting

Cause: settings were read with what Go makes of a missing value, 0, and only three of them were looked at (lifecycle/config.go, check). A class without a deadline ended in an error of the module without its name; a negative drain or load share, an aim past the deadline, a tenant named twice or a mode nobody speaks were served with. A value of the wrong type was told by its type alone.

Change: settings.ParseStrict for a gateway, with a FieldError of field, value and what is wanted; the simulator's adapter reads as before. limits.cores is checked.

Ruled out as too strict: a slot number past the number of gateways and missing tenants, which are served as before.

--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -134,7 +134,7 @@
 	}
 	c := &Config{Name: f.Name, ID: f.Revision, Listen: f.Listen, Operator: f.Operator, Seed: seed, Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
 		Sockets: f.Limits.Sockets, Bulletin: f.Bulletin}
-	if c.Site, err = settings.Parse(f.Settings); err != nil {
+	if c.Site, err = settings.ParseStrict(f.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	if c.Last, c.Known, err = bulletin.ParseKnown(f.Known, c.Site); err != nil {
@@ -158,10 +158,8 @@
 	if c.Sockets < 64 || c.MemoryMB < 32 {
 		return fmt.Errorf("limits: %d sockets and %d MB are too few", c.Sockets, c.MemoryMB)
 	}
-	s := c.Site
-	if s.ConnectTimeout <= 0 || s.ConnIdle <= 0 || s.Streams < 1 {
-		return fmt.Errorf("settings: connect-timeout-s %v, conn-idle-s %v, streams-per-conn %d", s.ConnectTimeout,
-			s.ConnIdle, s.Streams)
+	if !(c.Cores > 0) {
+		return fmt.Errorf("limits: cores is %v, wanted more than 0", c.Cores)
 	}
 	return nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,7 +3,6 @@
 package settings
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
 	"slices"
@@ -93,12 +92,29 @@
 	Streams        int           // attempts that one connection carries at once
 }
 
-// Parse reads the settings.
+// Parse reads the settings as far as they are there.
 func Parse(text []byte) (*Site, error) {
-	var b bootInfo
-	if err := json.Unmarshal(text, &b); err != nil {
+	b, err := decode(text)
+	if err != nil {
 		return nil, err
 	}
+	return b.site()
+}
+
+// ParseStrict is Parse for a gateway that is to serve: whatever is missing, out of range or contradictory is an error that
+// names it.
+func ParseStrict(text []byte) (*Site, error) {
+	b, err := decode(text)
+	if err != nil {
+		return nil, err
+	}
+	if err := b.check(); err != nil {
+		return nil, err
+	}
+	return b.site()
+}
+
+func (b *bootInfo) site() (*Site, error) {
 	site := &Site{Zones: b.Zones, Kinds: b.Kinds, ConnIdle: seconds(b.Limits.ConnIdle),
 		ConnectTimeout: seconds(b.Limits.Connect), Streams: b.Limits.Streams}
 	s := &site.Decide
@@ -106,8 +122,11 @@
 		site.Classes = append(site.Classes, c.Name)
 		effect, ok := effects[c.Effect]
 		group, ok2 := scopes[c.KeyScope]
-		if !ok || !ok2 {
-			return nil, fmt.Errorf("class %d: effect %q or key-scope %q is unknown", i, c.Effect, c.KeyScope)
+		if !ok {
+			return nil, &FieldError{fmt.Sprintf("classes[%d].effect", i), fmt.Sprintf("%q", c.Effect), "idempotent, deduplicated or at_most_once"}
+		}
+		if !ok2 {
+			return nil, &FieldError{fmt.Sprintf("classes[%d].key-scope", i), fmt.Sprintf("%q", c.KeyScope), "all, zone or cell"}
 		}
 		s.Classes = append(s.Classes, decide.Class{Aim: seconds(c.Promise), Deadline: seconds(c.Deadline),
 			Worth: c.Credit, LateWorth: c.LateWorth, Effect: effect, Group: group, Window: seconds(c.Window),
