--- a/internal/lifecycle/operator_test.go
+++ b/internal/lifecycle/operator_test.go
@@ -26,6 +26,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	runTurns(t, g)
+	return g
+}
+
+// runTurns runs a gateway's turns until the test ends, and its sockets with them.
+func runTurns(t *testing.T, g *Gateway) {
 	end, ended := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -44,9 +50,10 @@
 		g.loop.Post(func() {})
 		<-ended
 		g.net.Stop()
-		g.door.Stop()
+		if g.door != nil {
+			g.door.Stop()
+		}
 	})
-	return g
 }
 
 // ask makes one operator's call on a real socket.
