--- a/decide/random_test.go
+++ b/decide/random_test.go
@@ -138,7 +138,8 @@
 
 func TestRandomEventsKeepTheRulesAndReplay(t *testing.T) {
 	for seed := uint64(1); seed <= 30; seed++ {
-		if storm(t, seed) != storm(t, seed) {
+		first, again := storm(t, seed), storm(t, seed)
+		if first != again {
 			t.Errorf("seed %d: the same events gave other actions", seed)
 		}
 	}
--- a/internal/fleet/accord/lead.go
+++ b/internal/fleet/accord/lead.go
@@ -19,8 +19,7 @@
 // heardOf is the last report of a gateway.
 type heardOf struct {
 	Report
-	at    time.Duration
-	first time.Duration // since when it was not heard of, where at is old
+	at time.Duration
 }
 
 // lead is what this gateway knows while it leads.
--- a/internal/fleet/accord/shown.go
+++ b/internal/fleet/accord/shown.go
@@ -95,6 +95,7 @@
 // Told notes a change of the list of workers, and Observe the end of a call.
 func (a *Accord) Told(whole bool, members []core.Member) { a.sight.told(whole, members) }
 
+// Observe takes the record of a request that has ended.
 func (a *Accord) Observe(r core.Record) { a.sight.observe(a, r) }
 
 // Count notes a call that was answered before the core had it.
--- a/internal/fleet/agree/play_test.go
+++ b/internal/fleet/agree/play_test.go
@@ -36,7 +36,6 @@
 	i     int
 	name  string
 	disk  Disk
-	old   *Disk // a copy from before
 	g     *Group
 	write *Output
 }
--- a/internal/fleet/change/thing.go
+++ b/internal/fleet/change/thing.go
@@ -24,6 +24,8 @@
 
 // Kind and Name are the parts of a thing's name.
 func (t Thing) Kind() string { k, _, _ := strings.Cut(string(t), ":"); return k }
+
+// Name is the name without the kind.
 func (t Thing) Name() string { _, n, _ := strings.Cut(string(t), ":"); return n }
 
 // Check reports what names no thing.
--- a/internal/fleet/change/world_test.go
+++ b/internal/fleet/change/world_test.go
@@ -16,7 +16,6 @@
 	all   []*actor
 	seen  map[Thing]Sight // as of an earlier step
 	count int             // entries applied
-	big   *Permit
 }
 
 // actor is a gateway: intent is the permit that it has seen itself use and has not acted on.
--- a/internal/fleet/comeback.go
+++ b/internal/fleet/comeback.go
@@ -111,7 +111,7 @@
 	if s := c.saved; s != nil {
 		b.Roster, b.Module = s.Roster, s.Module
 		if s.Event > own {
-			own, b.Event = s.Event, s.Event
+			b.Event = s.Event
 			b.List = []core.Member{}
 			for i, h := range s.List {
 				b.List = append(b.List, core.Member{Host: h, Addr: s.Addrs[i]})
--- a/internal/fleet/member/delegate.go
+++ b/internal/fleet/member/delegate.go
@@ -88,11 +88,13 @@
 	return c, c.Check()
 }
 
-// NotifyJoin, NotifyUpdate and NotifyLeave take what has become of another gateway.
+// NotifyJoin takes that another gateway is there.
 func (t *Transport) NotifyJoin(n *memberlist.Node) { t.event(n, Joining) }
 
+// NotifyUpdate takes that another gateway tells something else of itself.
 func (t *Transport) NotifyUpdate(n *memberlist.Node) { t.event(n, Joining) }
 
+// NotifyLeave takes that another gateway has gone.
 func (t *Transport) NotifyLeave(n *memberlist.Node) {
 	if c, err := cardOf(n); err == nil && c.State == Draining { // it has said so before; memberlist does not tell the two apart here
 		t.event(n, Left)
--- a/internal/fleet/part.go
+++ b/internal/fleet/part.go
@@ -39,13 +39,28 @@
 // Base does nothing, for parts that need only some of the calls.
 type Base struct{}
 
-func (Base) Begin([]byte, bool)               {}
-func (Base) Joined()                          {}
-func (Base) Tick(time.Duration)               {}
-func (Base) Hear(Heard)                       {}
-func (Base) Saw(member.Event, member.What)    {}
-func (Base) Tell() []byte                     { return nil }
-func (Base) Save() func() ([]byte, error)     { return nil }
+// Begin does nothing.
+func (Base) Begin([]byte, bool) {}
+
+// Joined does nothing.
+func (Base) Joined() {}
+
+// Tick does nothing.
+func (Base) Tick(time.Duration) {}
+
+// Hear does nothing.
+func (Base) Hear(Heard) {}
+
+// Saw does nothing.
+func (Base) Saw(member.Event, member.What) {}
+
+// Tell does nothing.
+func (Base) Tell() []byte { return nil }
+
+// Save does nothing.
+func (Base) Save() func() ([]byte, error) { return nil }
+
+// Figures does nothing.
 func (Base) Figures(func(name string, v int)) {}
 
 // How says by which way a message came.
--- a/internal/fleet/recover/course.go
+++ b/internal/fleet/recover/course.go
@@ -36,10 +36,14 @@
 // NewCourse begins at now.
 func NewCourse(now time.Duration) *Course { return &Course{since: now} }
 
-// Phase is the present phase, Since when it began, and Poorer what the gateway has had to go on without.
-func (c *Course) Phase() Phase         { return c.phase }
+// Phase is the present phase.
+func (c *Course) Phase() Phase { return c.phase }
+
+// Since is when the present phase began.
 func (c *Course) Since() time.Duration { return c.since }
-func (c *Course) Poorer() []string     { return c.poorer }
+
+// Poorer is what the gateway has had to go on without.
+func (c *Course) Poorer() []string { return c.poorer }
 
 // Limit is the longest that a phase may last.
 func (p Phase) Limit() time.Duration {
--- a/internal/fleet/store/bolt.go
+++ b/internal/fleet/store/bolt.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
 )
 
 // renew writes entries into a new file in place of the old one, which is kept where that fails.
@@ -58,7 +59,7 @@
 		return err
 	})
 	var no syscall.Errno
-	if spoilt := (*SpoiltError)(nil); err != nil && !errors.Is(err, bbolt.ErrTimeout) && !errors.As(err, &no) && !errors.As(err, &spoilt) {
+	if spoilt := (*SpoiltError)(nil); err != nil && !errors.Is(err, berrors.ErrTimeout) && !errors.As(err, &no) && !errors.As(err, &spoilt) {
 		return nil, &SpoiltError{path, err} // neither the lock nor the system: the file itself
 	}
 	return b, err
--- a/internal/fleet/store/seal.go
+++ b/internal/fleet/store/seal.go
@@ -17,6 +17,7 @@
 
 func (e *SpoiltError) Error() string { return fmt.Sprintf("spoilt at %s: %v", e.Place, e.Why) }
 
+// Unwrap is why it is held to be spoilt.
 func (e *SpoiltError) Unwrap() error { return e.Why }
 
 // seal wraps a value: magic, version, number of the write, length, checksum of all of that with the key, value.
--- a/internal/fleettest/pinned_test.go
+++ b/internal/fleettest/pinned_test.go
@@ -1,7 +1,6 @@
 package fleettest
 
 import (
-	"fmt"
 	"os"
 	"regexp"
 	"strconv"
@@ -188,6 +187,6 @@
 	l.Confine(0, 2)
 	tr.Served(300, eventLimit)
 	n := verdict(t, l, tr)
-	t.Log(fmt.Sprintf("figures: gateways=7 outside=%d unanswered=%d twice=%d", l.Counts().Outside, n.Unanswered, l.Counts().Twice))
+	t.Logf("figures: gateways=7 outside=%d unanswered=%d twice=%d", l.Counts().Outside, n.Unanswered, l.Counts().Twice)
 	answered(t, n, tr)
 }
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -114,6 +114,7 @@
 	g.Process().Signal(syscall.SIGSTOP)
 }
 
+// Resume has a process that was stopped go on.
 func (g *Gateway) Resume() {
 	g.lab.Say("%s goes on", g.Name)
 	g.Process().Signal(syscall.SIGCONT)
--- a/internal/lab/tally.go
+++ b/internal/lab/tally.go
@@ -109,6 +109,7 @@
 // how much later than meant the clients began.
 func (t *Traffic) Latency(percent float64) time.Duration { return t.quantile(t.latency, percent) }
 
+// Lateness is how late requests were sent, at a percentile.
 func (t *Traffic) Lateness(percent float64) time.Duration { return t.quantile(t.late, percent) }
 
 func (t *Traffic) quantile(h *hdrhistogram.Histogram, percent float64) time.Duration {
--- a/internal/lab/worker.go
+++ b/internal/lab/worker.go
@@ -36,7 +36,6 @@
 	lanes   chan struct{}
 	waiting int
 	idle    *time.Timer
-	failed  bool
 }
 
 func newWorker(l *Lab, n int) (*Worker, error) {
--- a/internal/wire/httpfront/drain_test.go
+++ b/internal/wire/httpfront/drain_test.go
@@ -64,13 +64,11 @@
 	for seed := range uint64(80) {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		w, f, k := newFront(t, 40)
-		var peers []*wiretest.Peer
 		answered, drained := 0, time.Duration(0)
 		for n := range 150 {
 			switch rng.IntN(8) {
 			case 0, 1:
 				p := dial(w, f)
-				peers = append(peers, p)
 				say(w, p, []string{"", head, strings.Replace(post, "9b1f", fmt.Sprintf("%04x", n), 1), check}[rng.IntN(4)])
 			case 2, 3:
 				if open := len(k.calls) - answered; open > 0 {
--- a/internal/wire/ipfix/exporter.go
+++ b/internal/wire/ipfix/exporter.go
@@ -75,8 +75,10 @@
 	e.log.Info("export ended", zap.Uint64("sent", e.sent), zap.Uint64("dropped", e.dropped))
 }
 
-// Sent and Dropped count records.
-func (e *Exporter) Sent() uint64    { return e.sent }
+// Sent counts the records that were sent.
+func (e *Exporter) Sent() uint64 { return e.sent }
+
+// Dropped counts the records that found no room in the queue.
 func (e *Exporter) Dropped() uint64 { return e.dropped }
 
 // Observe takes the record of a finished call.
--- a/internal/wire/mqtt/front.go
+++ b/internal/wire/mqtt/front.go
@@ -61,6 +61,7 @@
 // Drain refuses calls from now on, until Resume; what is open goes on, and what is known is answered as ever.
 func (f *Front) Drain() { f.away = true }
 
+// Resume takes calls again.
 func (f *Front) Resume() { f.away = false }
 
 // Ready reports whether callers are taken.
--- a/internal/wire/mqtt/link.go
+++ b/internal/wire/mqtt/link.go
@@ -240,8 +240,14 @@
 // Probe is not spoken here either: a worker that is lost has its last will published.
 func (l *Link) Probe(ref core.Ref, _ string) { l.ends.Probed(ref, decide.Nop, nil) }
 
-// Forget has nothing to forget, Unload nothing to unload, Release nothing to release.
-func (l *Link) Forget(string, core.Ref)  {}
-func (l *Link) Unload(string, string)    {}
-func (l *Link) Release(string)           {}
+// Forget has nothing to forget: orders and probes are not spoken here.
+func (l *Link) Forget(string, core.Ref) {}
+
+// Unload is not spoken here.
+func (l *Link) Unload(string, string) {}
+
+// Release has nothing to release: the session is one for all workers.
+func (l *Link) Release(string) {}
+
+// List is not needed: the workers are named in the file.
 func (l *Link) List(bool, []core.Member) {}
--- a/internal/wire/wiretest/wiretest.go
+++ b/internal/wire/wiretest/wiretest.go
@@ -183,8 +183,11 @@
 	Over bool
 }
 
+// Data collects what comes.
 func (p *Peer) Data(b []byte) error { p.In = append(p.In, b...); return nil }
-func (p *Peer) Closed(error)        { p.Over = true }
+
+// Closed notes the end.
+func (p *Peer) Closed(error) { p.Over = true }
 
 // Take returns what has come since the last Take.
 func (p *Peer) Take() string {
@@ -221,8 +224,13 @@
 // Left says what the test has set.
 func (r *Replies) Left() bool { return r.HasLeft }
 
+// Served notes the answer and its body.
 func (r *Replies) Served(body []byte) {
 	r.Answers, r.Bodies = append(r.Answers, "served"), append(r.Bodies, string(body))
 }
+
+// Refused notes the answer.
 func (r *Replies) Refused(time.Duration, string) { r.Answers = append(r.Answers, "refused") }
-func (r *Replies) Failed(core.Failure)           { r.Answers = append(r.Answers, "failed") }
+
+// Failed notes the answer.
+func (r *Replies) Failed(core.Failure) { r.Answers = append(r.Answers, "failed") }
