--- a/internal/app/structure_test.go
+++ b/internal/app/structure_test.go
@@ -5,6 +5,7 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -107,6 +108,27 @@
 	return false
 }
 
+const mostLines = 250 // of a Go file; beyond it a file has more than one concern
+
+// No Go file, a test or not, is longer than can be read in one go.
+func TestFilesAreShort(t *testing.T) {
+	for _, top := range []string{"cmd", "decide", "internal", "tools"} {
+		err := filepath.WalkDir(filepath.Join(root, top), func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			if lines := strings.Count(string(text), "\n"); lines > mostLines {
+				t.Errorf("%s has %d lines, %d at most", path, lines, mostLines)
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // layers are the packages by what they may import of the program: those before them, and of their own layer.
 var layers = [][]string{
 	{"decide"},
