--- a/cmd/drill/main.go
+++ b/cmd/simadapter/main.go
@@ -1,4 +1,4 @@
-// Command drill lets the decision module play on the simulator's wire: batches of events on standard
+// Command simadapter lets the decision module play on the simulator's wire: batches of events on standard
 // input, one reply of actions for each on standard output. It parses and prints; it decides nothing.
 package main
 
@@ -11,7 +11,7 @@
 
 func main() {
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "drill:", err)
+		fmt.Fprintln(os.Stderr, "simadapter:", err)
 		os.Exit(1)
 	}
 }
--- a/internal/fleet/admit.go
+++ b/internal/fleet/admit.go
@@ -13,7 +13,7 @@
 )
 
 // open begins to admit clients.
-func (c *Comeback) open() {
+func (c *Recovery) open() {
 	gateways := c.h.View().Alive()
 	if c.saved != nil {
 		gateways = max(gateways, c.saved.Alive)
@@ -46,7 +46,7 @@
 
 // kept are the workers that have not been started anew since the state was saved: what was loaded there may stand. Where it
 // does not, the module's bound on loads still holds.
-func (c *Comeback) kept() map[string]bool {
+func (c *Recovery) kept() map[string]bool {
 	kept := map[string]bool{}
 	for _, h := range c.saved.List {
 		if m, listed := c.members[h.Name]; listed && m.State == decide.Ready && m.Since <= h.Since {
@@ -57,7 +57,7 @@
 }
 
 // bear is the part of their capacity that the workers have on average, cold as they are.
-func (c *Comeback) bear() float64 {
+func (c *Recovery) bear() float64 {
 	if len(c.members) == 0 {
 		return 1
 	}
@@ -73,7 +73,7 @@
 }
 
 // Admit reports whether a call is taken; where it isn't, how long its client is asked to stay away.
-func (c *Comeback) Admit(class int, function string) (bool, time.Duration) {
+func (c *Recovery) Admit(class int, function string) (bool, time.Duration) {
 	if c.admit == nil || c.course.Phase() == recover.Full {
 		return true, 0
 	}
@@ -81,7 +81,7 @@
 }
 
 // Observe takes the end of a call.
-func (c *Comeback) Observe(r core.Record) {
+func (c *Recovery) Observe(r core.Record) {
 	if c.admit == nil || c.course.Phase() == recover.Full || r.Answer == "gone" {
 		return
 	}
--- a/internal/fleet/accord/accord.go
+++ b/internal/fleet/agreement/agent.go
@@ -1,7 +1,7 @@
-// Package accord is a gateway's part in what its fleet agrees: it holds the log where it votes and follows it where it does
+// Package agreement is a gateway's part in what its fleet agrees: it holds the log where it votes and follows it where it does
 // not, reports what it sees to the one that leads, leads where it is that one, and carries out what concerns this gateway.
 // What is decided is in agree, change, freeze and site. It runs on the turn and waits for nothing.
-package accord
+package agreement
 
 import (
 	"fmt"
@@ -13,9 +13,9 @@
 	"quillrail/decide"
 	"quillrail/internal/core"
 	"quillrail/internal/fleet"
-	"quillrail/internal/fleet/agree"
 	"quillrail/internal/fleet/change"
 	"quillrail/internal/fleet/member"
+	"quillrail/internal/fleet/replog"
 	"quillrail/internal/fleet/site"
 )
 
@@ -31,7 +31,7 @@
 	Replace time.Duration
 	Lost    time.Duration // after so long without a worker that serves a hall is agreed to be lost
 	Limits  change.Limits
-	Rules   agree.Rules
+	Rules   replog.Rules
 	ColdFor time.Duration
 	Session string // which field of a call names its session: key, tenant, function
 	Own     []*site.Restriction
@@ -54,8 +54,8 @@
 	Take()                                            // the configuration that was kept back is let through
 }
 
-// Accord is the part. It belongs to the turn.
-type Accord struct {
+// Agent is the part. It belongs to the turn.
+type Agent struct {
 	fleet.Base
 	h   *fleet.Host
 	gw  Gateway
@@ -63,15 +63,15 @@
 	log *zap.Logger
 
 	id      uint64 // of the disk
-	lives   map[string]lives
-	claim   *agree.Claim
-	mine    *agree.Disk // what this disk holds of the log, until it is known whether it may be used
+	lives   map[string]incarnations
+	claim   *replog.Eligibility
+	mine    *replog.Disk // what this disk holds of the log, until it is known whether it may be used
 	known   map[string]answer
-	group   *agree.Group
+	group   *replog.Group
 	writing bool
 	logLo   uint64 // entries of the log that may be on disk
 	logHi   uint64
-	copy    *agree.Follower
+	copy    *replog.Follower
 	done    uint64 // the last entry that was acted on,
 	doneEra uint64 // and its era
 	from    string // the voter that is followed
@@ -86,8 +86,8 @@
 	open    map[uint64]*proposal
 	follows map[string]*follower
 	recent  recent
-	sight   sight
-	lead    lead
+	sight   observations
+	lead    leader
 	held    holder
 	hashAt  uint64 // the entry that
 	hashed  uint64 // is the state's hash at
@@ -100,20 +100,20 @@
 }
 
 // New returns the part.
-func New(h *fleet.Host, gw Gateway, o Options) *Accord {
-	a := &Accord{h: h, gw: gw, o: o, log: h.Log().Named("agreed"), lives: map[string]lives{}, open: map[uint64]*proposal{}, follows: map[string]*follower{},
+func New(h *fleet.Host, gw Gateway, o Options) *Agent {
+	a := &Agent{h: h, gw: gw, o: o, log: h.Log().Named("agreed"), lives: map[string]incarnations{}, open: map[uint64]*proposal{}, follows: map[string]*follower{},
 		known: map[string]answer{}}
-	a.copy = agree.NewFollower(nil, a.applied)
+	a.copy = replog.NewFollower(nil, a.applied)
 	a.sight = newSight()
 	a.lead = newLead()
 	return a
 }
 
 // Name names the part's messages and its entry on disk.
-func (a *Accord) Name() string { return "agree" }
+func (a *Agent) Name() string { return "agree" }
 
 // Begin takes what is on disk.
-func (a *Accord) Begin(b []byte, late bool) {
+func (a *Agent) Begin(b []byte, late bool) {
 	a.begun = a.h.Now()
 	var s saved
 	if b != nil && msgpack.Unmarshal(b, &s) == nil && len(s.Lives) <= maxLives {
@@ -137,12 +137,12 @@
 		a.id = a.h.Life().Tag | 1<<63 // drawn at random: another disk is another voter
 	}
 	if a.mine != nil {
-		g, err := agree.Open(a.o.Name, *a.mine, func(agree.Applied) {})
+		g, err := replog.Open(a.o.Name, *a.mine, func(replog.Applied) {})
 		if err != nil || g.State() == nil {
 			a.log.Error("the log on disk is not used: this gateway gives its vote up", zap.Error(err))
 			a.forfeit()
 		} else {
-			a.claim = agree.NewClaim(a.o.Name, a.h.Life().N, g.State().Voters)
+			a.claim = replog.NewEligibility(a.o.Name, a.h.Life().N, g.State().Voters)
 			if b, err := g.State().Encode(); err == nil && g.State().Index > a.copy.After() {
 				a.copy.Replace(b)
 			}
@@ -151,19 +151,19 @@
 }
 
 // State is what is agreed, as far as this gateway knows; nil if it knows nothing. It is not to be changed.
-func (a *Accord) State() *agree.State {
+func (a *Agent) State() *replog.State {
 	if a.group == nil || a.group.State() == nil {
 		return a.copy.State
 	}
 	g := a.group.State()
-	if c := a.copy.State; c != nil && agree.Newer(c.Era, c.Index, g) { // it learns, or was away
+	if c := a.copy.State; c != nil && replog.Newer(c.Era, c.Index, g) { // it learns, or was away
 		return c
 	}
 	return g
 }
 
 // Adopt takes what another process of this gateway knew, before this one has its place in the fleet.
-func (a *Accord) Adopt(state []byte) {
+func (a *Agent) Adopt(state []byte) {
 	if len(state) > 0 {
 		if err := a.copy.Replace(state); err != nil {
 			a.log.Warn("what the process before knew of what is agreed is not used", zap.Error(err))
@@ -174,16 +174,16 @@
 }
 
 // Age is how long ago what is known was known to be current; false if it never was in this process.
-func (a *Accord) Age() (time.Duration, bool) { return a.h.Now() - a.heard, a.caught }
+func (a *Agent) Age() (time.Duration, bool) { return a.h.Now() - a.heard, a.caught }
 
 // Configured notes that this gateway goes by another configuration from now on.
-func (a *Accord) Configured(id string) { a.o.Config = id }
+func (a *Agent) Configured(id string) { a.o.Config = id }
 
 // Caught reports whether what is known has been current since this process began.
-func (a *Accord) Caught() bool { return a.caught }
+func (a *Agent) Caught() bool { return a.caught }
 
 // current notes that what is known was current so long ago.
-func (a *Accord) current(age time.Duration) {
+func (a *Agent) current(age time.Duration) {
 	if at := a.h.Now() - age; at > a.heard || !a.caught {
 		a.heard = at
 	}
@@ -194,7 +194,7 @@
 }
 
 // Tick is the part's pace: each 100 ms.
-func (a *Accord) Tick(now time.Duration) {
+func (a *Agent) Tick(now time.Duration) {
 	if a.stopped {
 		return
 	}
@@ -223,7 +223,7 @@
 }
 
 // Saw takes what has become of another gateway.
-func (a *Accord) Saw(e member.Event, what member.What) {
+func (a *Agent) Saw(e member.Event, what member.What) {
 	a.lived(e.Card.Name, e.Card.Life)
 }
 
--- a/internal/fleet/accord/apply.go
+++ b/internal/fleet/agreement/apply.go
@@ -1,15 +1,15 @@
-package accord
+package agreement
 
 import (
 	"slices"
 
 	"go.uber.org/zap"
 
-	"quillrail/internal/fleet/agree"
+	"quillrail/internal/fleet/replog"
 )
 
 // applied is told of every entry that is applied here.
-func (a *Accord) applied(x agree.Applied) {
+func (a *Agent) applied(x replog.Applied) {
 	st := a.State()
 	if st.Era != a.doneEra {
 		a.doneEra, a.done = st.Era, 0
@@ -26,7 +26,7 @@
 	if x.Entry == nil {
 		return
 	}
-	if x.Err != agree.ErrTwice {
+	if x.Err != replog.ErrTwice {
 		a.told(x)
 		a.held.carry(a, x)
 	}
@@ -35,7 +35,7 @@
 }
 
 // fail gives the log up after an error of the library: the gateway follows from then on.
-func (a *Accord) fail(err error) {
+func (a *Agent) fail(err error) {
 	if err == nil || a.group == nil {
 		return
 	}
@@ -47,7 +47,7 @@
 }
 
 // Stop ends the part. One that leads hands the lead on.
-func (a *Accord) Stop() {
+func (a *Agent) Stop() {
 	if a.group != nil && a.group.Leads() {
 		for _, v := range a.group.State().Voting() {
 			if v.ID != a.group.ID() {
@@ -61,7 +61,7 @@
 }
 
 // voters are the names to ask what is agreed: those who vote as far as is known, else those of the file.
-func (a *Accord) voters() (names []string) {
+func (a *Agent) voters() (names []string) {
 	if st := a.State(); st != nil {
 		for _, v := range st.Voters {
 			names = append(names, v.Name)
--- a/internal/fleet/accord/words.go
+++ b/internal/fleet/agreement/arguments.go
@@ -1,4 +1,4 @@
-package accord
+package agreement
 
 import (
 	"errors"
@@ -10,26 +10,26 @@
 	"quillrail/internal/fleet/change"
 )
 
-// words are the options of a call, each taken once: what is left over is not understood.
-type words struct {
+// arguments are the options of a call, each taken once: what is left over is not understood.
+type arguments struct {
 	left map[string]string
 	err  error
 }
 
-func (w *words) text(name string) string {
+func (w *arguments) text(name string) string {
 	v := w.left[name]
 	delete(w.left, name)
 	return v
 }
 
-func (w *words) list(name string) []string {
+func (w *arguments) list(name string) []string {
 	if v := w.text(name); v != "" {
 		return strings.Split(v, ",")
 	}
 	return nil
 }
 
-func (w *words) number(name string, usual float64) float64 {
+func (w *arguments) number(name string, usual float64) float64 {
 	v := w.text(name)
 	if v == "" {
 		return usual
@@ -41,7 +41,7 @@
 	return x
 }
 
-func (w *words) one(name string, of ...string) string {
+func (w *arguments) one(name string, of ...string) string {
 	v := w.text(name)
 	if v != "" && !slices.Contains(of, v) {
 		w.err = errors.Join(w.err, fmt.Errorf("%s is one of %v, not %q", name, of, v))
@@ -49,7 +49,7 @@
 	return v
 }
 
-func (w *words) limit(name string, usual change.Limit) change.Limit {
+func (w *arguments) limit(name string, usual change.Limit) change.Limit {
 	v := w.text(name)
 	if v == "" {
 		return usual
@@ -60,7 +60,7 @@
 }
 
 // done reports what was wrong with the options.
-func (w *words) done() error {
+func (w *arguments) done() error {
 	for _, name := range sorted(w.left) {
 		w.err = errors.Join(w.err, fmt.Errorf("%s is not understood here", name))
 	}
--- a/internal/fleet/accord/declare.go
+++ b/internal/fleet/agreement/declare.go
@@ -1,4 +1,4 @@
-package accord
+package agreement
 
 import (
 	"errors"
@@ -7,15 +7,15 @@
 	"strings"
 	"time"
 
-	"quillrail/internal/fleet/agree"
 	"quillrail/internal/fleet/change"
 	"quillrail/internal/fleet/freeze"
+	"quillrail/internal/fleet/replog"
 	"quillrail/internal/fleet/site"
 )
 
 // Kinds of what may be declared, with what each takes.
-var declared = map[string]func(a *Accord, w *words) (kind string, body any, err error){
-	"release": func(a *Accord, w *words) (string, any, error) {
+var declared = map[string]func(a *Agent, w *arguments) (kind string, body any, err error){
+	"release": func(a *Agent, w *arguments) (string, any, error) {
 		r := &change.Release{Name: w.text("name"), Why: w.text("why"), ProveMs: int64(1000 * w.number("prove_s", 0)), MostMs: int64(1000 * w.number("most_s", 0)),
 			StepMs: int64(1000 * w.number("step_s", 0)), Alpha: w.number("alpha", 0), Worse: w.number("worse", 0), Slower: w.number("slower", 0),
 			TakeBack: w.one("on_halt", "stand", "back") == "back", Freeze: w.one("on_freeze", change.FreezeHalts, change.FreezeBack, change.FreezeRefuses)}
@@ -28,14 +28,14 @@
 		}
 		return "begin", r, nil
 	},
-	"halt": func(a *Accord, w *words) (string, any, error) {
+	"halt": func(a *Agent, w *arguments) (string, any, error) {
 		return a.ofRelease("halt", w, "by the word of "+w.left["by"]+" "+w.text("why"))
 	},
-	"continue": func(a *Accord, w *words) (string, any, error) { return a.ofRelease("continue", w, "") },
-	"back": func(a *Accord, w *words) (string, any, error) {
+	"continue": func(a *Agent, w *arguments) (string, any, error) { return a.ofRelease("continue", w, "") },
+	"back": func(a *Agent, w *arguments) (string, any, error) {
 		return a.ofRelease("revert", w, "by the word of "+w.left["by"]+" "+w.text("why"))
 	},
-	"freeze": func(a *Accord, w *words) (string, any, error) {
+	"freeze": func(a *Agent, w *arguments) (string, any, error) {
 		p := &freeze.Period{Name: w.text("name"), Start: w.text("from"), End: w.text("to"), Zone: w.text("zone"), Rule: w.text("rule"), Halls: w.list("halls"),
 			Drop: w.one("after", "take", "drop") == "drop", Owner: w.left["by"]}
 		for _, k := range w.list("kinds") {
@@ -52,41 +52,41 @@
 		p.Fix(a.clock().At)
 		return "freeze", p, nil
 	},
-	"exception": func(a *Accord, w *words) (string, any, error) {
-		return "except", agree.ExceptBody{Exception: freeze.Exception{Period: w.text("freeze"), What: w.text("for"), Why: w.text("why"),
+	"exception": func(a *Agent, w *arguments) (string, any, error) {
+		return "except", replog.ExceptBody{Exception: freeze.Exception{Period: w.text("freeze"), What: w.text("for"), Why: w.text("why"),
 			Until: a.h.Now().Milliseconds() + int64(1000*w.number("for_s", 3600))}}, nil
 	},
-	"take": func(a *Accord, w *words) (string, any, error) {
-		return "take", agree.NameBody{Name: a.o.Name}, nil
+	"take": func(a *Agent, w *arguments) (string, any, error) {
+		return "take", replog.NameBody{Name: a.o.Name}, nil
 	},
-	"second": func(a *Accord, w *words) (string, any, error) {
-		return "second", agree.SecondBody{ID: uint64(w.number("exception", 0))}, nil
+	"second": func(a *Agent, w *arguments) (string, any, error) {
+		return "second", replog.SecondBody{ID: uint64(w.number("exception", 0))}, nil
 	},
-	"lift": func(a *Accord, w *words) (string, any, error) {
-		b := agree.EndBody{Name: w.text("freeze")}
+	"lift": func(a *Agent, w *arguments) (string, any, error) {
+		b := replog.EndBody{Name: w.text("freeze")}
 		if s := w.number("in_s", 0); s > 0 {
 			b.At = a.h.Now().Milliseconds() + int64(1000*s)
 		}
 		return "lift", b, nil
 	},
-	"restriction": func(a *Accord, w *words) (string, any, error) {
+	"restriction": func(a *Agent, w *arguments) (string, any, error) {
 		r := site.Restriction{Name: w.text("name"), Tenants: w.list("tenants"), Classes: w.list("classes"), Functions: w.list("functions"), Sites: w.list("sites"),
 			Pin: w.one("pin", "yes", "no") == "yes"}
 		if err := r.Check(site.Known{Tenants: a.o.Tenants, Classes: a.o.Classes, Halls: a.o.Halls}); err != nil {
 			return "", nil, err
 		}
-		return "restrict", agree.RestrictBody{Restriction: r}, nil
+		return "restrict", replog.RestrictBody{Restriction: r}, nil
 	},
-	"unrestrict": func(a *Accord, w *words) (string, any, error) {
-		return "unrestrict", agree.NameBody{Name: w.text("name")}, nil
+	"unrestrict": func(a *Agent, w *arguments) (string, any, error) {
+		return "unrestrict", replog.NameBody{Name: w.text("name")}, nil
 	},
-	"close": func(a *Accord, w *words) (string, any, error) {
-		return "lose", agree.NameBody{Name: w.text("hall")}, nil
+	"close": func(a *Agent, w *arguments) (string, any, error) {
+		return "lose", replog.NameBody{Name: w.text("hall")}, nil
 	},
-	"open": func(a *Accord, w *words) (string, any, error) {
-		return "open", agree.NameBody{Name: w.text("hall")}, nil
+	"open": func(a *Agent, w *arguments) (string, any, error) {
+		return "open", replog.NameBody{Name: w.text("hall")}, nil
 	},
-	"limits": func(a *Accord, w *words) (string, any, error) {
+	"limits": func(a *Agent, w *arguments) (string, any, error) {
 		l := a.o.Limits
 		if st := a.State(); st != nil {
 			l = st.Change.Limits
@@ -94,26 +94,26 @@
 		l = change.Limits{Gateways: w.limit("gateways", l.Gateways), GatewaysHall: w.limit("gateways_hall", l.GatewaysHall), Workers: w.limit("workers", l.Workers),
 			WorkersHall: w.limit("workers_hall", l.WorkersHall), Only: w.limit("only_copies", l.Only), Margin: w.number("margin", l.Margin),
 			GatewayCalls: w.number("gateway_calls", l.GatewayCalls), WorkerCalls: w.number("worker_calls", l.WorkerCalls)}
-		return "limits", agree.LimitsBody{Limits: l}, l.Check()
+		return "limits", replog.LimitsBody{Limits: l}, l.Check()
 	},
-	"rules": func(a *Accord, w *words) (string, any, error) {
+	"rules": func(a *Agent, w *arguments) (string, any, error) {
 		r := a.o.Rules
 		if st := a.State(); st != nil {
 			r = st.Rules
 		}
-		return "rules", agree.RulesBody{Rules: agree.Rules{ClockBoundMs: int64(w.number("clock_bound_ms", float64(r.ClockBoundMs))),
+		return "rules", replog.RulesBody{Rules: replog.Rules{ClockBoundMs: int64(w.number("clock_bound_ms", float64(r.ClockBoundMs))),
 			FreezeAheadMs: int64(1000 * w.number("freeze_ahead_s", float64(r.FreezeAheadMs)/1000))}}, nil
 	},
-	"ended": func(a *Accord, w *words) (string, any, error) {
+	"ended": func(a *Agent, w *arguments) (string, any, error) {
 		return "word", change.PermitBody{ID: uint64(w.number("permit", 0))}, nil
 	},
-	"gone": func(a *Accord, w *words) (string, any, error) {
-		return "forget", agree.NameBody{Name: string(change.Of(change.Gateway, w.text("gateway")))}, nil
+	"gone": func(a *Agent, w *arguments) (string, any, error) {
+		return "forget", replog.NameBody{Name: string(change.Of(change.Gateway, w.text("gateway")))}, nil
 	},
 }
 
 // ofRelease is an entry on the release that is named.
-func (a *Accord) ofRelease(kind string, w *words, reason string) (string, any, error) {
+func (a *Agent) ofRelease(kind string, w *arguments, reason string) (string, any, error) {
 	name := w.text("name")
 	if st := a.State(); st != nil {
 		if r := st.Change.Release(name); r != nil {
@@ -125,7 +125,7 @@
 
 // Declare has something agreed by an operator's word. done is called once, within a second: with what came of it, or with the
 // reason why not.
-func (a *Accord) Declare(kind string, options map[string]string, done func(text string, err error)) {
+func (a *Agent) Declare(kind string, options map[string]string, done func(text string, err error)) {
 	if kind == "rebuild" {
 		done("", a.Rebuild(options["by"], options["and"]))
 		return
@@ -135,7 +135,7 @@
 		done("", fmt.Errorf("%q can't be declared: %s", kind, strings.Join(append(sorted(declared), "rebuild"), " ")))
 		return
 	}
-	w := &words{left: map[string]string{}}
+	w := &arguments{left: map[string]string{}}
 	for k, v := range options {
 		w.left[k] = v
 	}
@@ -158,7 +158,7 @@
 }
 
 // Agree proposes an entry for an operator, who is answered within a second.
-func (a *Accord) Agree(kind, by string, except uint64, body any, done func(index uint64, err error)) {
+func (a *Agent) Agree(kind, by string, except uint64, body any, done func(index uint64, err error)) {
 	over := false
 	late := a.h.Loop().After(askOperator, func() {
 		if !over {
@@ -176,7 +176,7 @@
 }
 
 // Ask asks for a permit for a thing, for an operator: text says whether it is in use or why it waits.
-func (a *Accord) Ask(t change.Thing, holder, by, why string, except uint64, emergency bool, done func(text string, err error)) {
+func (a *Agent) Ask(t change.Thing, holder, by, why string, except uint64, emergency bool, done func(text string, err error)) {
 	p := &change.Permit{Things: []change.Thing{t}, Holder: holder, Why: why, Emergency: emergency}
 	begun := a.h.Now()
 	a.Agree("ask", by, except, p, func(index uint64, err error) {
@@ -189,7 +189,7 @@
 }
 
 // await answers once a permit is in use, or says why it waits.
-func (a *Accord) await(id uint64, begun time.Duration, done func(text string, err error)) {
+func (a *Agent) await(id uint64, begun time.Duration, done func(text string, err error)) {
 	p := a.State().Change.Permit(id)
 	switch {
 	case p == nil:
--- a/internal/fleet/accord/claim.go
+++ b/internal/fleet/agreement/eligibility.go
@@ -1,4 +1,4 @@
-package accord
+package agreement
 
 import (
 	"fmt"
@@ -11,8 +11,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
-	"quillrail/internal/fleet/agree"
 	"quillrail/internal/fleet/member"
+	"quillrail/internal/fleet/replog"
 	"quillrail/internal/fleet/site"
 	"quillrail/internal/fleet/store"
 )
@@ -37,8 +37,8 @@
 }
 
 // diskOf is the log that was on disk, nil if there is none.
-func diskOf(found map[string][]byte) *agree.Disk {
-	d := &agree.Disk{Hard: found[keyHard], Snap: found[keySnap], Entries: map[uint64][]byte{}}
+func diskOf(found map[string][]byte) *replog.Disk {
+	d := &replog.Disk{Hard: found[keyHard], Snap: found[keySnap], Entries: map[uint64][]byte{}}
 	if d.Hard == nil && d.Snap == nil || msgpack.Unmarshal(found[keyID], &d.ID) != nil || d.ID == 0 {
 		return nil
 	}
@@ -53,7 +53,7 @@
 }
 
 // persist has a write of the log on disk, whole, before done is called on the turn.
-func (a *Accord) persist(w *agree.Write, done func()) {
+func (a *Agent) persist(w *replog.Write, done func()) {
 	id, err := msgpack.Marshal(a.id)
 	if err != nil || a.h.Disk() == nil {
 		a.fail(fmt.Errorf("agree: there is no disk to hold the log on: %w", err))
@@ -84,7 +84,7 @@
 }
 
 // span notes that an entry of the log is on disk.
-func (a *Accord) span(i uint64) {
+func (a *Agent) span(i uint64) {
 	if a.logHi < a.logLo || a.logHi == 0 {
 		a.logLo, a.logHi = i, i
 	}
@@ -92,13 +92,13 @@
 }
 
 // settle decides whether this gateway may vote by its disk, or whether a first agreement begins.
-func (a *Accord) settle(now time.Duration) {
+func (a *Agent) settle(now time.Duration) {
 	first := a.State() == nil && len(a.o.First) > 0 && a.o.First[0] == a.o.Name
 	if a.claim == nil && !first || a.ticks%int(claimEvery/(100*time.Millisecond)) != 0 {
 		return
 	}
 	for _, name := range a.others() {
-		a.send(name, note{Kind: noteClaim, Life: a.h.Life().N, Tag: a.h.Life().Tag})
+		a.send(name, message{Kind: messageLifeQuestion, Life: a.h.Life().N, Tag: a.h.Life().Tag})
 	}
 	if a.claim != nil {
 		a.judge()
@@ -108,7 +108,7 @@
 }
 
 // others are all gateways that are known of, and the voters.
-func (a *Accord) others() []string {
+func (a *Agent) others() []string {
 	names := map[string]bool{}
 	for _, n := range a.voters() {
 		names[n] = true
@@ -125,7 +125,7 @@
 	return slices.Sorted(maps.Keys(names))
 }
 
-func (a *Accord) claimed(from string, x note) {
+func (a *Agent) claimed(from string, x message) {
 	a.known[from] = answer{x.ID, x.Index, a.h.Now()}
 	if a.claim != nil {
 		a.claim.Answer(from, x.Life)
@@ -134,10 +134,10 @@
 }
 
 // judge takes the disk into use, or gives the vote up.
-func (a *Accord) judge() {
+func (a *Agent) judge() {
 	switch a.claim.Verdict() {
-	case agree.May:
-		g, err := agree.Open(a.o.Name, *a.mine, a.applied)
+	case replog.May:
+		g, err := replog.Open(a.o.Name, *a.mine, a.applied)
 		if err != nil {
 			a.log.Error("the log on disk is not used: this gateway gives its vote up", zap.Error(err))
 			a.forfeit()
@@ -147,14 +147,14 @@
 		a.held.sync(a, g.State())
 		a.log.Info("this gateway holds the log", zap.Uint64("entry", g.State().Index))
 		a.pump()
-	case agree.Forfeits:
+	case replog.Forfeits:
 		a.log.Error("the disk is older than this gateway's last life: it gives its vote up, and follows")
 		a.forfeit()
 	}
 }
 
 // forfeit makes this gateway another one than the voter it was: its number is drawn anew, and the log on disk is gone.
-func (a *Accord) forfeit() {
+func (a *Agent) forfeit() {
 	a.claim, a.mine, a.group, a.writing = nil, nil, nil, false
 	a.id++
 	if a.h.Disk() == nil {
@@ -170,15 +170,15 @@
 }
 
 // found begins the first agreement, once all that are to vote have said that they know of none, and so has everybody else.
-func (a *Accord) found(now time.Duration) {
-	voters := []agree.Voter{{ID: a.id, Name: a.o.Name, Hall: a.o.Hall}}
+func (a *Agent) found(now time.Duration) {
+	voters := []replog.Voter{{ID: a.id, Name: a.o.Name, Hall: a.o.Hall}}
 	for _, name := range a.others() {
 		k, ok := a.known[name]
 		if !ok || now-k.at > claimOld || k.index > 0 || k.id == 0 {
 			return
 		}
 		if slices.Contains(a.o.First, name) {
-			voters = append(voters, agree.Voter{ID: k.id, Name: name, Hall: a.hallOf(name)})
+			voters = append(voters, replog.Voter{ID: k.id, Name: name, Hall: a.hallOf(name)})
 		}
 	}
 	if len(voters) != len(a.o.First) || a.h.Disk() == nil {
@@ -188,18 +188,18 @@
 }
 
 // fresh is what is agreed before anything is: what the files of the voters say.
-func (a *Accord) fresh() *agree.State {
-	return agree.NewState(site.Known{Tenants: a.o.Tenants, Classes: a.o.Classes, Halls: a.o.Halls}, a.o.Rules, a.o.Limits)
+func (a *Agent) fresh() *replog.State {
+	return replog.NewState(site.Known{Tenants: a.o.Tenants, Classes: a.o.Classes, Halls: a.o.Halls}, a.o.Rules, a.o.Limits)
 }
 
 // begin puts the beginning of a log on disk and takes part in it.
-func (a *Accord) begin(st *agree.State, voters []agree.Voter) {
-	w, err := agree.Found(st, voters)
+func (a *Agent) begin(st *replog.State, voters []replog.Voter) {
+	w, err := replog.Found(st, voters)
 	if err != nil {
 		a.log.Error("no agreement can begin", zap.Error(err))
 		return
 	}
-	g, err := agree.Open(a.o.Name, agree.Disk{ID: a.id, Hard: w.Hard, Snap: w.Snap}, a.applied)
+	g, err := replog.Open(a.o.Name, replog.Disk{ID: a.id, Hard: w.Hard, Snap: w.Snap}, a.applied)
 	if err != nil {
 		a.log.Error("no agreement can begin", zap.Error(err))
 		return
@@ -217,7 +217,7 @@
 }
 
 // hallOf is the hall of a gateway, by what it says of itself.
-func (a *Accord) hallOf(name string) string {
+func (a *Agent) hallOf(name string) string {
 	if e, ok := a.h.View().Other(name); ok {
 		return a.hallName(e.Card.Hall)
 	}
@@ -225,7 +225,7 @@
 }
 
 // leave follows from now on, what was held is dropped: the others have removed this gateway's vote.
-func (a *Accord) leave() {
+func (a *Agent) leave() {
 	a.log.Info("this gateway does not hold the log any more: others do")
 	if b := a.Handed(); b != nil {
 		a.copy.Replace(b)
--- a/internal/fleet/accord/follow.go
+++ b/internal/fleet/agreement/follow.go
@@ -1,4 +1,4 @@
-package accord
+package agreement
 
 import (
 	"slices"
@@ -6,8 +6,8 @@
 
 	"go.uber.org/zap"
 
-	"quillrail/internal/fleet/agree"
 	"quillrail/internal/fleet/member"
+	"quillrail/internal/fleet/replog"
 )
 
 const (
@@ -26,7 +26,7 @@
 	raw  [][]byte
 }
 
-func (r *recent) add(x agree.Applied) {
+func (r *recent) add(x replog.Applied) {
 	if x.Whole || x.Index != r.from+uint64(len(r.raw)) {
 		r.from, r.raw = x.Index+1, nil
 		if x.Whole {
@@ -55,7 +55,7 @@
 }
 
 // follow asks for what is new.
-func (a *Accord) follow(now time.Duration) {
+func (a *Agent) follow(now time.Duration) {
 	if now-a.asked < followEvery {
 		return
 	}
@@ -76,11 +76,11 @@
 	} else if now-a.heard > lonely {
 		a.from = names[(i+1)%len(names)]
 	}
-	a.send(a.from, note{Kind: noteFollow, Index: a.copy.After()})
+	a.send(a.from, message{Kind: messageFollow, Index: a.copy.After()})
 }
 
 // followed tells one that follows what it lacks.
-func (a *Accord) followed(from string, x note) {
+func (a *Agent) followed(from string, x message) {
 	st := a.State()
 	if st == nil || len(a.follows) >= mostFollow && a.follows[from] == nil {
 		return
@@ -94,19 +94,19 @@
 }
 
 // feed tells one that follows what is new to it.
-func (a *Accord) feed(to string) {
+func (a *Agent) feed(to string) {
 	f, st := a.follows[to], a.State()
 	for f.next <= st.Index {
 		raw, ok := a.recent.after(f.next - 1)
 		if !ok || f.next == 1 {
 			b, err := st.Encode()
-			if err != nil || !a.send(to, note{Kind: noteState, Body: b}) {
+			if err != nil || !a.send(to, message{Kind: messageState, Body: b}) {
 				return
 			}
 			f.next = st.Index + 1
 			return
 		}
-		if !a.send(to, note{Kind: noteEntries, Index: f.next, Entries: raw}) {
+		if !a.send(to, message{Kind: messageEntries, Index: f.next, Entries: raw}) {
 			return
 		}
 		f.next += uint64(len(raw))
@@ -114,17 +114,17 @@
 }
 
 // beat tells one that follows that it has been told all.
-func (a *Accord) beat(to string) {
+func (a *Agent) beat(to string) {
 	age, caught := a.Age()
 	if !caught {
 		return
 	}
 	st := a.State()
-	a.send(to, note{Kind: noteBeat, Index: st.Index, Hash: a.hash(), AgeMs: age.Milliseconds(), At: a.h.Now().Milliseconds(), Name: a.leads()})
+	a.send(to, message{Kind: messageHeartbeat, Index: st.Index, Hash: a.hash(), AgeMs: age.Milliseconds(), At: a.h.Now().Milliseconds(), Name: a.leads()})
 }
 
 // leads is who leads, as far as this gateway knows.
-func (a *Accord) leads() string {
+func (a *Agent) leads() string {
 	if a.group == nil {
 		return a.leader
 	}
@@ -135,14 +135,14 @@
 }
 
 // pushed tells those who follow what has just been agreed.
-func (a *Accord) pushed() {
+func (a *Agent) pushed() {
 	for name := range a.follows {
 		a.feed(name)
 	}
 }
 
 // again is what a voter, or one that others follow, does each tick for them.
-func (a *Accord) again(now time.Duration) {
+func (a *Agent) again(now time.Duration) {
 	a.retry(now)
 	if a.ticks%beatTicks != 0 {
 		return
@@ -160,7 +160,7 @@
 }
 
 // hash is that of the state, reckoned once for each entry.
-func (a *Accord) hash() uint64 {
+func (a *Agent) hash() uint64 {
 	st := a.State()
 	if a.hashAt != st.Index {
 		a.hashAt, a.hashed = st.Index, st.Hash()
@@ -169,20 +169,20 @@
 }
 
 // fed takes what the voter that is followed tells.
-func (a *Accord) fed(from string, x note) {
+func (a *Agent) fed(from string, x message) {
 	switch x.Kind {
-	case noteState:
+	case messageState:
 		if err := a.copy.Replace(x.Body); err != nil {
 			a.log.Warn("what another gateway knows to be agreed is not understood", zap.String("gateway", from), zap.Error(err))
 		}
-	case noteEntries:
+	case messageEntries:
 		if a.copy.State == nil {
 			return
 		}
 		if err := a.copy.Take(x.Index, x.Entries); err != nil {
 			a.log.Debug("entries are missing", zap.Error(err))
 		}
-	case noteBeat:
+	case messageHeartbeat:
 		a.clockSeen(x)
 		a.leader = x.Name
 		if st := a.copy.State; st != nil && a.group == nil {
@@ -195,7 +195,7 @@
 			}
 		}
 	}
-	if a.group != nil && a.group.State() != nil && a.copy.State != nil && agree.Newer(a.copy.State.Era, a.copy.After(), a.group.State()) {
+	if a.group != nil && a.group.State() != nil && a.copy.State != nil && replog.Newer(a.copy.State.Era, a.copy.After(), a.group.State()) {
 		if v := a.copy.State.Voter(a.o.Name); v == nil || v.ID != a.group.ID() { // removed while it was away
 			a.leave()
 		}
@@ -203,7 +203,7 @@
 }
 
 // alarm names what must not be, once a second at the most.
-func (a *Accord) alarm(what string, f ...zap.Field) {
+func (a *Agent) alarm(what string, f ...zap.Field) {
 	a.alarms++
 	if a.h.Now()-a.alarmed > time.Second {
 		a.alarmed = a.h.Now()
--- a/internal/fleet/accord/frozen.go
+++ b/internal/fleet/agreement/frozen.go
@@ -1,4 +1,4 @@
-package accord
+package agreement
 
 import (
 	"cmp"
@@ -7,13 +7,13 @@
 	"slices"
 	"time"
 
-	"quillrail/internal/fleet/agree"
 	"quillrail/internal/fleet/freeze"
 	"quillrail/internal/fleet/guard"
+	"quillrail/internal/fleet/replog"
 )
 
 // clock is this gateway's clock with the bound that is agreed.
-func (a *Accord) clock() freeze.Clock {
+func (a *Agent) clock() freeze.Clock {
 	bound := a.o.Rules.ClockBoundMs
 	if st := a.State(); st != nil {
 		bound = st.Rules.ClockBoundMs
@@ -26,7 +26,7 @@
 
 // clockSeen compares this clock with one that is told: what it says was said a moment ago, so that only a clock that is
 // behind it by more than both bounds, or ahead by more than that and the time a message may take, is known to be off.
-func (a *Accord) clockSeen(x note) {
+func (a *Agent) clockSeen(x message) {
 	if x.At > 0 {
 		a.off, a.offAt = a.h.Now()-time.Duration(x.At)*time.Millisecond, a.h.Now()
 	}
@@ -36,7 +36,7 @@
 const messageFor = time.Second
 
 // Frozen reports why this gateway must not change its configuration now, "" if it may. halls are those that it touches.
-func (a *Accord) Frozen(k freeze.Kind) string {
+func (a *Agent) Frozen(k freeze.Kind) string {
 	st, c := a.State(), a.clock()
 	if st == nil {
 		return "it is not known yet what is agreed"
@@ -59,13 +59,13 @@
 }
 
 // Drops reports whether what came within the freezes that are in force is to be dropped afterwards.
-func (a *Accord) Drops(k freeze.Kind) bool {
+func (a *Agent) Drops(k freeze.Kind) bool {
 	st := a.State()
 	return st != nil && slices.ContainsFunc(st.Freeze.InForce(a.clock()), func(p *freeze.Period) bool { return p.Drop && p.Covers(k, []string{a.o.Hall}) })
 }
 
 // spans has the leader put down the occurrences of periods anew when few are left.
-func (a *Accord) spans(st *agree.State, now time.Duration) {
+func (a *Agent) spans(st *replog.State, now time.Duration) {
 	for _, p := range st.Freeze.Periods {
 		left := 0
 		for _, s := range p.Spans {
@@ -77,7 +77,7 @@
 			a.spanned = now
 			q := *p
 			q.Fix(time.UnixMilli(now.Milliseconds()))
-			a.put("spans", agree.SpansBody{Name: p.Name, Spans: q.Spans})
+			a.put("spans", replog.SpansBody{Name: p.Name, Spans: q.Spans})
 		}
 	}
 }
--- a/internal/fleet/accord/holder.go
+++ b/internal/fleet/agreement/holder.go
@@ -1,4 +1,4 @@
-package accord
+package agreement
 
 import (
 	"fmt"
@@ -9,8 +9,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
-	"quillrail/internal/fleet/agree"
 	"quillrail/internal/fleet/change"
+	"quillrail/internal/fleet/replog"
 )
 
 // holder is what this gateway has to do by what was agreed.
@@ -21,7 +21,7 @@
 }
 
 // carry does what an entry asks of this gateway.
-func (x *holder) carry(a *Accord, e agree.Applied) {
+func (x *holder) carry(a *Agent, e replog.Applied) {
 	if e.Err != nil {
 		return
 	}
@@ -31,7 +31,7 @@
 	case "lift", "except", "second":
 		a.gw.Thawed()
 	case "take":
-		var b agree.NameBody
+		var b replog.NameBody
 		if msgpack.Unmarshal(e.Entry.Body, &b) == nil && b.Name == a.o.Name {
 			a.gw.Take()
 		}
@@ -39,7 +39,7 @@
 }
 
 // sync brings bans in line with the permits: a worker is out while one that names it is in use.
-func (x *holder) sync(a *Accord, st *agree.State) {
+func (x *holder) sync(a *Agent, st *replog.State) {
 	if st == nil {
 		return
 	}
@@ -81,7 +81,7 @@
 }
 
 // hold does the steps of permits that this gateway holds for itself.
-func (a *Accord) hold(now time.Duration) {
+func (a *Agent) hold(now time.Duration) {
 	st, x := a.State(), &a.held
 	if st == nil {
 		return
@@ -110,7 +110,7 @@
 }
 
 // drained sends clients away: this gateway has seen that its permit is in use.
-func (a *Accord) drained(id uint64) {
+func (a *Agent) drained(id uint64) {
 	if p := a.State().Change.Permit(id); p == nil || p.Phase != change.Used || p.Life != a.h.Life().N {
 		return
 	}
@@ -118,12 +118,12 @@
 	a.gw.Drain(fmt.Sprintf("permit %d", id))
 }
 
-func (a *Accord) giveBack(id uint64) {
+func (a *Agent) giveBack(id uint64) {
 	a.Propose("return", "", 0, change.PermitBody{ID: id, Holder: a.o.Name, Life: a.h.Life().N}, nil)
 }
 
 // Permit is the permit that names this gateway, nil if none does.
-func (a *Accord) Permit() *change.Permit {
+func (a *Agent) Permit() *change.Permit {
 	if st := a.State(); st != nil {
 		return st.Change.PermitOf(change.Of(change.Gateway, a.o.Name))
 	}
@@ -131,7 +131,7 @@
 }
 
 // Back says that this gateway takes clients again, by an operator's word.
-func (a *Accord) Back() {
+func (a *Agent) Back() {
 	p := a.Permit()
 	switch {
 	case p == nil || p.Holder != a.o.Name || p.Release != 0:
@@ -144,7 +144,7 @@
 }
 
 // Failed says that a step of a release has come to nothing here: this gateway goes on as it was.
-func (a *Accord) Failed(why string) {
+func (a *Agent) Failed(why string) {
 	p := a.Permit()
 	if p == nil || p.Release == 0 || p.Phase != change.Used {
 		return
@@ -154,7 +154,7 @@
 }
 
 // Ending says that this process has been asked to end. Without a permit that is an emergency: it is named, and counts.
-func (a *Accord) Ending() {
+func (a *Agent) Ending() {
 	if st := a.State(); st != nil && a.Permit() == nil && st.Change.Things[change.Of(change.Gateway, a.o.Name)] != nil {
 		a.Propose("ask", "", 0, &change.Permit{Things: []change.Thing{change.Of(change.Gateway, a.o.Name)}, Holder: a.o.Name, Emergency: true,
 			By: "SIGTERM", Why: "it was asked to end"}, nil)
@@ -162,7 +162,7 @@
 }
 
 // Wanted is what a gateway is to become by a step of a release that is under way, "" for nothing.
-func (a *Accord) Wanted(gateway string) (what, to string, permit uint64) {
+func (a *Agent) Wanted(gateway string) (what, to string, permit uint64) {
 	if st := a.State(); st != nil {
 		return st.Change.Wanted(gateway)
 	}
@@ -170,7 +170,7 @@
 }
 
 // PermitOf is the permit that names a thing, nil if none does.
-func (a *Accord) PermitOf(t change.Thing) *change.Permit {
+func (a *Agent) PermitOf(t change.Thing) *change.Permit {
 	if st := a.State(); st != nil {
 		return st.Change.PermitOf(t)
 	}
@@ -178,7 +178,7 @@
 }
 
 // Return says that the things of a permit may be used again, by an operator's word.
-func (a *Accord) Return(p *change.Permit, by string, done func(string, error)) {
+func (a *Agent) Return(p *change.Permit, by string, done func(string, error)) {
 	if p.Phase <= change.Granted {
 		a.Agree("lapse", by, 0, change.PermitBody{ID: p.ID, Why: "taken back by " + by}, func(_ uint64, err error) { done("", err) })
 		return
@@ -187,13 +187,13 @@
 }
 
 // Urgent says that something has been taken out without asking: it is named, and counts.
-func (a *Accord) Urgent(t change.Thing, holder, by, why string) {
+func (a *Agent) Urgent(t change.Thing, holder, by, why string) {
 	a.log.Warn("taken out by an emergency word", zap.String("kind", t.Kind()), zap.String("name", t.Name()), zap.String("by", by), zap.String("why", why))
 	a.Propose("ask", by, 0, &change.Permit{Things: []change.Thing{t}, Holder: holder, Why: why, Emergency: true}, nil)
 }
 
 // Restarts are the workers that a release wants started anew now.
-func (a *Accord) Restarts() (ids []string) {
+func (a *Agent) Restarts() (ids []string) {
 	st := a.State()
 	if st == nil {
 		return nil
--- a/internal/fleet/accord/lives.go
+++ b/internal/fleet/agreement/incarnations.go
@@ -1,18 +1,18 @@
-package accord
+package agreement
 
 import (
 	"quillrail/internal/fleet/member"
 )
 
-// lives are the highest life that was heard of a gateway, and the highest number before it: a process that asks may have been
+// incarnations are the highest life that was heard of a gateway, and the highest number before it: a process that asks may have been
 // heard of already, by another way.
-type lives struct {
+type incarnations struct {
 	member.Life
 	Before uint64
 }
 
 // lived notes a life of another gateway, and returns the highest number that was known before it.
-func (a *Accord) lived(name string, l member.Life) uint64 {
+func (a *Agent) lived(name string, l member.Life) uint64 {
 	k, known := a.lives[name]
 	switch {
 	case name == a.o.Name || l.N == 0 || !known && len(a.lives) >= maxLives:
@@ -20,7 +20,7 @@
 	case l == k.Life:
 		return k.Before
 	case l.Compare(k.Life) > 0:
-		a.lives[name] = lives{l, max(k.N, k.Before)}
+		a.lives[name] = incarnations{l, max(k.N, k.Before)}
 		a.h.SaveSoon()
 	}
 	return k.N
--- a/internal/fleet/accord/lead.go
+++ b/internal/fleet/agreement/lead.go
@@ -1,4 +1,4 @@
-package accord
+package agreement
 
 import (
 	"slices"
@@ -6,8 +6,8 @@
 
 	"go.uber.org/zap"
 
-	"quillrail/internal/fleet/agree"
 	"quillrail/internal/fleet/change"
+	"quillrail/internal/fleet/replog"
 )
 
 const (
@@ -16,16 +16,16 @@
 	driveFor   = 3 * time.Second         // for what was proposed to be applied
 )
 
-// heardOf is the last report of a gateway.
-type heardOf struct {
+// lastReport is the last report of a gateway.
+type lastReport struct {
 	Report
 	at time.Duration
 }
 
-// lead is what this gateway knows while it leads.
-type lead struct {
+// leader is what this gateway knows while it leads.
+type leader struct {
 	driver  *change.Driver
-	reports map[string]*heardOf
+	reports map[string]*lastReport
 	leads   bool
 	since   time.Duration
 	alone   time.Duration // without a majority before
@@ -37,16 +37,16 @@
 	turn    int
 }
 
-func newLead() lead {
-	return lead{reports: map[string]*heardOf{}, empty: map[string]time.Duration{}, busy: map[string]time.Duration{}, lost: map[string]time.Duration{}}
+func newLead() leader {
+	return leader{reports: map[string]*lastReport{}, empty: map[string]time.Duration{}, busy: map[string]time.Duration{}, lost: map[string]time.Duration{}}
 }
 
-func (l *lead) take(a *Accord, r Report) {
-	l.reports[r.Name] = &heardOf{Report: r, at: a.h.Now()}
+func (l *leader) take(a *Agent, r Report) {
+	l.reports[r.Name] = &lastReport{Report: r, at: a.h.Now()}
 }
 
 // drive makes the fleet go on, where this gateway leads.
-func (a *Accord) drive(now time.Duration) {
+func (a *Agent) drive(now time.Duration) {
 	l := &a.lead
 	if a.group == nil || !a.group.Caught() {
 		if l.leads = false; a.group != nil && !a.group.Leads() {
@@ -84,13 +84,13 @@
 }
 
 // put proposes something of the driver's own.
-func (a *Accord) put(kind string, body any) {
+func (a *Agent) put(kind string, body any) {
 	a.lead.waits++
 	a.Propose(kind, "", 0, body, func(uint64, error) { a.lead.waits-- })
 }
 
 // view is what all reports come to.
-func (a *Accord) view(now time.Duration) *change.View {
+func (a *Agent) view(now time.Duration) *change.View {
 	l, st := &a.lead, a.State()
 	v := &change.View{Ctx: change.Ctx{Index: st.Index, At: max(now.Milliseconds(), st.At)}, Self: a.o.Name, Things: map[change.Thing]change.Sight{},
 		Samples: map[string]change.Sample{}, Classes: len(a.o.Classes), Lonely: l.alone.Milliseconds()}
@@ -147,7 +147,7 @@
 }
 
 // witnesses are the gateways that see another one serve in a life.
-func (l *lead) witnesses(st *agree.State, name string, life uint64, now time.Duration) (out []string) {
+func (l *leader) witnesses(st *replog.State, name string, life uint64, now time.Duration) (out []string) {
 	t := change.Of(change.Gateway, name)
 	k := st.Change.Things[t]
 	agreed := k != nil && k.Health == change.Well && k.Life == life && st.Change.PermitOf(t) == nil
@@ -166,7 +166,7 @@
 
 // workers puts together what is seen of workers: out by the list of anybody, or by the judgement of half of those who
 // report; cold if anybody finds it so.
-func (l *lead) workers(st *agree.State, v *change.View, now time.Duration) {
+func (l *leader) workers(st *replog.State, v *change.View, now time.Duration) {
 	type tally struct {
 		well           []string
 		cold, out, all int
--- a/internal/fleet/accord/seats.go
+++ b/internal/fleet/agreement/membership.go
@@ -1,35 +1,35 @@
-package accord
+package agreement
 
 import (
 	"time"
 
 	"go.uber.org/zap"
 
-	"quillrail/internal/fleet/agree"
+	"quillrail/internal/fleet/replog"
 )
 
 // seats sees to those who vote: one change at a time.
-func (a *Accord) seats(st *agree.State, now time.Duration) {
+func (a *Agent) seats(st *replog.State, now time.Duration) {
 	l := &a.lead
 	if l.turn++; l.turn%10 != 0 {
 		return
 	}
-	var all []agree.Candidate
+	var all []replog.Candidate
 	for name, r := range l.reports {
 		if now-r.at > forgetLead {
 			delete(l.reports, name)
 			continue
 		}
-		c := agree.Candidate{Name: name, Hall: r.Hall, ID: r.ID, Up: now-r.at <= fresh, DownFor: (now - r.at).Milliseconds()}
+		c := replog.Candidate{Name: name, Hall: r.Hall, ID: r.ID, Up: now-r.at <= fresh, DownFor: (now - r.at).Milliseconds()}
 		c.Behind, c.Listens = a.group.Behind(r.ID)
 		all = append(all, c)
 	}
 	for _, v := range st.Voters { // one that was never heard of counts from the begin of this lead on
 		if _, ok := l.reports[v.Name]; !ok {
-			all = append(all, agree.Candidate{Name: v.Name, Hall: v.Hall, ID: v.ID, DownFor: (now - l.since).Milliseconds()})
+			all = append(all, replog.Candidate{Name: v.Name, Hall: v.Hall, ID: v.ID, DownFor: (now - l.since).Milliseconds()})
 		}
 	}
-	s := agree.Seats{Want: a.o.Votes, LostMs: a.o.Replace.Milliseconds()}
+	s := replog.Membership{Want: a.o.Votes, LostMs: a.o.Replace.Milliseconds()}
 	if v, gone, ok := s.Next(st, a.group.ID(), all); ok {
 		v.At = now.Milliseconds()
 		a.log.Info("who votes is changed", zap.String("gateway", v.Name), zap.Bool("learner", v.Learner), zap.Bool("removed", gone))
--- a/internal/fleet/accord/talk.go
+++ b/internal/fleet/agreement/messages.go
@@ -1,31 +1,31 @@
-package accord
+package agreement
 
 import (
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"quillrail/internal/fleet"
-	"quillrail/internal/fleet/agree"
 	"quillrail/internal/fleet/member"
+	"quillrail/internal/fleet/replog"
 )
 
 // The kinds of note.
 const (
-	noteClaim   = iota + 1 // which life of mine do you know?
-	noteClaimed            // this one
-	noteRaft               // between voters
-	noteFollow             // what comes after this entry?
-	noteEntries            // these
-	noteState              // all that there is
-	noteBeat               // what was told is current
-	notePropose            // an entry, for who leads
-	noteReport             // what a gateway sees
-	noteNobody             // I don't lead, this one does
-	noteEra                // the agreement has been begun anew
+	messageLifeQuestion = iota + 1 // which life of mine do you know?
+	messageLifeAnswer              // this one
+	messageRaft                    // between voters
+	messageFollow                  // what comes after this entry?
+	messageEntries                 // these
+	messageState                   // all that there is
+	messageHeartbeat               // what was told is current
+	messagePropose                 // an entry, for who leads
+	messageReport                  // what a gateway sees
+	messageNotLeader               // I don't lead, this one does
+	messageEra                     // the agreement has been begun anew
 )
 
-// note is a message of this part at another gateway.
-type note struct {
+// message is a message of this part at another gateway.
+type message struct {
 	Kind    int      `msgpack:"k"`
 	Life    uint64   `msgpack:"l,omitempty"` // of the asker, that is known
 	Tag     uint64   `msgpack:"g,omitempty"` // of that life
@@ -40,7 +40,7 @@
 	Entries [][]byte `msgpack:"e,omitempty"`
 }
 
-func (a *Accord) send(to string, x note) bool {
+func (a *Agent) send(to string, x message) bool {
 	if st := a.State(); st != nil {
 		x.Era = st.Era
 	}
@@ -53,20 +53,20 @@
 }
 
 // Hear takes a message of the same part at another gateway.
-func (a *Accord) Hear(m fleet.Heard) {
+func (a *Agent) Hear(m fleet.Received) {
 	if m.How != fleet.Message || a.stopped || m.From == "" {
 		return
 	}
-	var x note
+	var x message
 	if err := msgpack.Unmarshal(m.Body, &x); err != nil {
 		a.log.Warn("what another gateway says of the agreement is not understood", zap.String("gateway", m.From), zap.Error(err))
 		return
 	}
 	a.eraSeen(m.From, x)
 	switch x.Kind {
-	case noteClaim:
+	case messageLifeQuestion:
 		st := a.State()
-		y := note{Kind: noteClaimed, Life: a.lived(m.From, member.Life{N: x.Life, Tag: x.Tag}), ID: a.id}
+		y := message{Kind: messageLifeAnswer, Life: a.lived(m.From, member.Life{N: x.Life, Tag: x.Tag}), ID: a.id}
 		if st != nil {
 			y.Index = st.Index
 		}
@@ -74,19 +74,19 @@
 			y.Index = 1
 		}
 		a.send(m.From, y)
-	case noteClaimed:
+	case messageLifeAnswer:
 		a.claimed(m.From, x)
-	case noteRaft:
+	case messageRaft:
 		a.raft(m.From, x.Body)
-	case noteFollow:
+	case messageFollow:
 		a.followed(m.From, x)
-	case noteEntries, noteState, noteBeat:
+	case messageEntries, messageState, messageHeartbeat:
 		a.fed(m.From, x)
-	case notePropose:
+	case messagePropose:
 		a.offered(m.From, x)
-	case noteReport:
+	case messageReport:
 		a.reported(m.From, x)
-	case noteNobody:
+	case messageNotLeader:
 		if a.leader = x.Name; a.leader == a.o.Name {
 			a.leader = ""
 		}
@@ -95,12 +95,12 @@
 
 // Raft's own messages.
 
-func (a *Accord) raft(from string, b []byte) {
+func (a *Agent) raft(from string, b []byte) {
 	if a.group == nil {
 		if a.claim != nil { // it is not known yet whether this disk may vote
 			return
 		}
-		g, err := agree.Learn(a.o.Name, a.id, a.applied)
+		g, err := replog.Learn(a.o.Name, a.id, a.applied)
 		if err != nil {
 			a.log.Error("the log can't be learnt", zap.Error(err))
 			return
@@ -120,7 +120,7 @@
 }
 
 // pump does what the group wants done.
-func (a *Accord) pump() {
+func (a *Agent) pump() {
 	for a.group != nil && !a.writing {
 		out, err := a.group.Ready()
 		if err != nil {
@@ -148,10 +148,10 @@
 }
 
 // post sends what may be sent now that it is on disk, and takes what is agreed.
-func (a *Accord) post(out *agree.Output) {
+func (a *Agent) post(out *replog.Output) {
 	for _, m := range out.Mail {
 		if name := a.nameOf(m.To); name != "" {
-			a.send(name, note{Kind: noteRaft, Body: m.Body})
+			a.send(name, message{Kind: messageRaft, Body: m.Body})
 		}
 	}
 	more, err := a.group.Written()
@@ -168,7 +168,7 @@
 }
 
 // nameOf is the gateway of a voter's number.
-func (a *Accord) nameOf(id uint64) string {
+func (a *Agent) nameOf(id uint64) string {
 	if st := a.State(); st != nil {
 		for _, v := range st.Voters {
 			if v.ID == id {
--- a/internal/fleet/accord/sight.go
+++ b/internal/fleet/agreement/observations.go
@@ -1,4 +1,4 @@
-package accord
+package agreement
 
 import (
 	"time"
@@ -8,8 +8,8 @@
 	"quillrail/internal/fleet/change"
 )
 
-// sight is what this gateway sees.
-type sight struct {
+// observations is what this gateway sees.
+type observations struct {
 	members  map[string]core.Member
 	answered map[string]time.Duration
 	tallies  []change.Tally
@@ -20,11 +20,11 @@
 	at       time.Duration
 }
 
-func newSight() sight {
-	return sight{members: map[string]core.Member{}, answered: map[string]time.Duration{}}
+func newSight() observations {
+	return observations{members: map[string]core.Member{}, answered: map[string]time.Duration{}}
 }
 
-func (s *sight) told(whole bool, members []core.Member) {
+func (s *observations) told(whole bool, members []core.Member) {
 	if whole {
 		clear(s.members)
 	}
@@ -38,7 +38,7 @@
 	}
 }
 
-func (s *sight) observe(a *Accord, r core.Record) {
+func (s *observations) observe(a *Agent, r core.Record) {
 	t := s.count(a, r.Call.Class, r.Answer)
 	if t == nil {
 		return
@@ -53,7 +53,7 @@
 }
 
 // count notes how a call was answered, and returns the tally of its class, nil if it has none.
-func (s *sight) count(a *Accord, class int, answer string) *change.Tally {
+func (s *observations) count(a *Agent, class int, answer string) *change.Tally {
 	if s.tallies == nil {
 		s.tallies = make([]change.Tally, len(a.o.Classes))
 		s.uses = make([]float64, len(a.o.Classes)*max(1, len(a.o.Tenants)))
@@ -75,7 +75,7 @@
 }
 
 // measure brings the load up to date.
-func (s *sight) measure(now time.Duration) {
+func (s *observations) measure(now time.Duration) {
 	d := (now - s.at).Seconds()
 	if s.at == 0 || d <= 0 {
 		s.at = now
--- a/internal/fleet/accord/propose.go
+++ b/internal/fleet/agreement/propose.go
@@ -1,4 +1,4 @@
-package accord
+package agreement
 
 import (
 	"fmt"
@@ -6,8 +6,8 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"quillrail/internal/fleet/agree"
 	"quillrail/internal/fleet/change"
+	"quillrail/internal/fleet/replog"
 )
 
 const (
@@ -20,7 +20,7 @@
 
 // proposal is an entry on its way.
 type proposal struct {
-	entry *agree.Entry
+	entry *replog.Entry
 	raw   []byte
 	at    time.Duration
 	said  time.Duration
@@ -30,7 +30,7 @@
 
 // Propose has an entry proposed. done is called on the turn once it has been applied here, with the reason if it changed
 // nothing, or with an error if it is not known what became of it.
-func (a *Accord) Propose(kind, by string, except uint64, body any, done func(index uint64, err error)) {
+func (a *Agent) Propose(kind, by string, except uint64, body any, done func(index uint64, err error)) {
 	if done == nil {
 		done = func(uint64, error) {}
 	}
@@ -40,7 +40,7 @@
 		return
 	}
 	a.seq++
-	e := &agree.Entry{V: 1, From: a.o.Name, Life: a.h.Life().N, Seq: a.seq, By: by, Except: except, Kind: kind, Body: b}
+	e := &replog.Entry{V: 1, From: a.o.Name, Life: a.h.Life().N, Seq: a.seq, By: by, Except: except, Kind: kind, Body: b}
 	if err := e.Check(); err != nil {
 		done(0, err)
 		return
@@ -59,7 +59,7 @@
 }
 
 // say tells who leads of a proposal; where nobody is known to, a voter.
-func (a *Accord) say(p *proposal) {
+func (a *Agent) say(p *proposal) {
 	p.said = a.h.Now()
 	if a.group != nil && a.group.Leads() {
 		e := *p.entry
@@ -81,24 +81,24 @@
 		}
 	}
 	if to != "" {
-		a.send(to, note{Kind: notePropose, Body: p.raw})
+		a.send(to, message{Kind: messagePropose, Body: p.raw})
 	}
 }
 
 // offered takes a proposal of another gateway, or passes it on.
-func (a *Accord) offered(from string, x note) {
+func (a *Agent) offered(from string, x message) {
 	if a.group == nil {
-		a.send(from, note{Kind: noteNobody, Name: a.leads()})
+		a.send(from, message{Kind: messageNotLeader, Name: a.leads()})
 		return
 	}
 	if !a.group.Leads() {
 		if to := a.leads(); to != "" && to != from && to != a.o.Name {
-			a.send(to, note{Kind: notePropose, Body: x.Body})
-			a.send(from, note{Kind: noteNobody, Name: to})
+			a.send(to, message{Kind: messagePropose, Body: x.Body})
+			a.send(from, message{Kind: messageNotLeader, Name: to})
 		}
 		return
 	}
-	e := &agree.Entry{}
+	e := &replog.Entry{}
 	if msgpack.Unmarshal(x.Body, e) != nil || e.Check() != nil {
 		return
 	}
@@ -109,8 +109,8 @@
 }
 
 // fill puts in what is known to who leads alone: what the sites of a restriction bear, and what it is for asks.
-func (a *Accord) fill(e *agree.Entry) {
-	var b agree.RestrictBody
+func (a *Agent) fill(e *replog.Entry) {
+	var b replog.RestrictBody
 	if e.Kind != "restrict" || msgpack.Unmarshal(e.Body, &b) != nil {
 		return
 	}
@@ -121,7 +121,7 @@
 }
 
 // retry tells proposals again that have not been applied.
-func (a *Accord) retry(now time.Duration) {
+func (a *Agent) retry(now time.Duration) {
 	for seq, p := range a.open {
 		switch {
 		case now > p.until:
@@ -134,7 +134,7 @@
 }
 
 // answer ends a proposal of this gateway that has been applied.
-func (a *Accord) answer(x agree.Applied) {
+func (a *Agent) answer(x replog.Applied) {
 	if x.Entry.From != a.o.Name || x.Entry.Life != a.h.Life().N {
 		return
 	}
--- a/internal/fleet/accord/rebuild.go
+++ b/internal/fleet/agreement/rebuild.go
@@ -1,4 +1,4 @@
-package accord
+package agreement
 
 import (
 	"fmt"
@@ -6,8 +6,8 @@
 
 	"go.uber.org/zap"
 
-	"quillrail/internal/fleet/agree"
 	"quillrail/internal/fleet/change"
+	"quillrail/internal/fleet/replog"
 )
 
 // lostFor is how long there has to be no majority before an agreement may be begun anew.
@@ -17,7 +17,7 @@
 // those who voted is lost for good. What this gateway knows to be agreed stands, permits count as out, a release stands still;
 // the others follow it from then on, former voters too when they come back. What was agreed and has not reached this gateway
 // is lost, and nothing can find it: the gateway that knows of the newest entry is the one to ask.
-func (a *Accord) Rebuild(by, and string) error {
+func (a *Agent) Rebuild(by, and string) error {
 	age, caught := a.Age()
 	switch {
 	case by == "" || and == "" || by == and:
@@ -27,13 +27,13 @@
 	case a.h.Disk() == nil:
 		return fmt.Errorf("this gateway has no disk to hold a log on")
 	}
-	var st *agree.State
+	var st *replog.State
 	if old := a.State(); old != nil {
 		b, err := old.Encode()
 		if err != nil {
 			return err
 		}
-		if st, err = agree.Decode(b); err != nil {
+		if st, err = replog.Decode(b); err != nil {
 			return err
 		}
 	} else {
@@ -45,21 +45,21 @@
 	}
 	a.forfeit()
 	a.log.Warn("the agreement is begun anew, without its majority", zap.String("by", by), zap.String("and", and), zap.Uint64("era", st.Era))
-	a.begin(st, []agree.Voter{{ID: a.id, Name: a.o.Name, Hall: a.o.Hall}})
+	a.begin(st, []replog.Voter{{ID: a.id, Name: a.o.Name, Hall: a.o.Hall}})
 	return nil
 }
 
 // tellEra tells all that an agreement of a later era has begun here.
-func (a *Accord) tellEra() {
+func (a *Agent) tellEra() {
 	for _, name := range a.others() {
-		a.send(name, note{Kind: noteEra})
+		a.send(name, message{Kind: messageEra})
 	}
 }
 
 // eraSeen follows an agreement that was begun anew, and gives up a former one.
-func (a *Accord) eraSeen(from string, x note) {
+func (a *Agent) eraSeen(from string, x message) {
 	st := a.State()
-	if st == nil || x.Era <= st.Era || x.Kind == noteState {
+	if st == nil || x.Era <= st.Era || x.Kind == messageState {
 		return
 	}
 	if a.group != nil || a.claim != nil {
@@ -72,5 +72,5 @@
 		a.forfeit()
 	}
 	a.caught, a.from = false, from
-	a.send(from, note{Kind: noteFollow})
+	a.send(from, message{Kind: messageFollow})
 }
--- a/internal/fleet/accord/report.go
+++ b/internal/fleet/agreement/report.go
@@ -1,4 +1,4 @@
-package accord
+package agreement
 
 import (
 	"time"
@@ -8,9 +8,9 @@
 
 	"quillrail/decide"
 	"quillrail/internal/core"
-	"quillrail/internal/fleet/agree"
 	"quillrail/internal/fleet/change"
 	"quillrail/internal/fleet/member"
+	"quillrail/internal/fleet/replog"
 )
 
 const (
@@ -61,7 +61,7 @@
 }
 
 // report tells the one that leads what this gateway sees.
-func (a *Accord) report(now time.Duration) {
+func (a *Agent) report(now time.Duration) {
 	a.sight.measure(now)
 	r := a.seen(now)
 	if a.group != nil && a.group.Leads() {
@@ -78,18 +78,18 @@
 		to = a.from
 	}
 	if to != "" && to != a.o.Name {
-		a.send(to, note{Kind: noteReport, Body: b})
+		a.send(to, message{Kind: messageReport, Body: b})
 	}
 }
 
 // reported takes a report, or passes it on to who leads.
-func (a *Accord) reported(from string, x note) {
+func (a *Agent) reported(from string, x message) {
 	if a.group == nil {
 		return
 	}
 	if !a.group.Leads() {
 		if to := a.leads(); to != "" && to != a.o.Name && to != from {
-			a.send(to, note{Kind: noteReport, Body: x.Body})
+			a.send(to, message{Kind: messageReport, Body: x.Body})
 		}
 		return
 	}
@@ -102,10 +102,10 @@
 }
 
 // seen is this gateway's report.
-func (a *Accord) seen(now time.Duration) Report {
+func (a *Agent) seen(now time.Duration) Report {
 	st := a.State()
 	r := Report{Name: a.o.Name, Life: a.h.Life().N, ID: a.id, Hall: a.o.Hall, Serving: a.gw.Serving(), Warm: a.gw.Warm(), Version: a.o.Version,
-		Config: a.o.Config, Level: agree.Level, Load: a.sight.load, Classes: append([]change.Tally(nil), a.sight.tallies...), Uses: append([]float64(nil), a.sight.use...)}
+		Config: a.o.Config, Level: replog.Level, Load: a.sight.load, Classes: append([]change.Tally(nil), a.sight.tallies...), Uses: append([]float64(nil), a.sight.use...)}
 	if st == nil {
 		return r
 	}
@@ -156,7 +156,7 @@
 
 // worker is how this gateway sees a worker: out by the list or by its own judgement, cold by its start, else well; where it
 // has begun anew, once it has answered since.
-func (a *Accord) worker(name string, m core.Member, now time.Duration) WorkerSeen {
+func (a *Agent) worker(name string, m core.Member, now time.Duration) WorkerSeen {
 	w := WorkerSeen{ID: name, Hall: a.hallName(m.Zone), Start: uint64(max(0, m.Since.Milliseconds())), Health: change.Well}
 	at, answered := a.sight.answered[name]
 	switch {
--- a/internal/fleet/accord/show.go
+++ b/internal/fleet/agreement/show.go
@@ -1,4 +1,4 @@
-package accord
+package agreement
 
 import (
 	"fmt"
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
-	"quillrail/internal/fleet/agree"
 	"quillrail/internal/fleet/change"
+	"quillrail/internal/fleet/replog"
 )
 
 const (
@@ -16,7 +16,7 @@
 )
 
 // Show words what is agreed, for operators: a line each.
-func (a *Accord) Show() string {
+func (a *Agent) Show() string {
 	var b strings.Builder
 	say := func(format string, x ...any) { fmt.Fprintf(&b, format+"\n", x...) }
 	st := a.State()
@@ -120,14 +120,14 @@
 }
 
 // Waits is why a permit waits, as far as this gateway can tell: what is measured is known to who leads alone.
-func (a *Accord) Waits(p *change.Permit) string {
+func (a *Agent) Waits(p *change.Permit) string {
 	if err := a.State().Change.Turn(p, change.Measure{}); err != nil {
 		return err.Error()
 	}
 	return "it is its turn, or what stays does not bear the load"
 }
 
-func (a *Accord) showRelease(st *agree.State, r *change.Release, say func(string, ...any)) {
+func (a *Agent) showRelease(st *replog.State, r *change.Release, say func(string, ...any)) {
 	line := fmt.Sprintf("release %s of %s: %s to %q, %s", r.Name, r.By, r.What, r.To, r.Course)
 	if r.Course < change.Done {
 		way := " forwards"
@@ -163,7 +163,7 @@
 	}
 }
 
-func (a *Accord) showFreezes(st *agree.State, say func(string, ...any)) {
+func (a *Agent) showFreezes(st *replog.State, say func(string, ...any)) {
 	c := a.clock()
 	for _, p := range st.Freeze.Periods {
 		kinds, halls := "all kinds", "all halls"
--- a/internal/fleet/accord/shown.go
+++ b/internal/fleet/agreement/shown.go
@@ -1,25 +1,25 @@
-package accord
+package agreement
 
 import (
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"quillrail/internal/core"
-	"quillrail/internal/fleet/agree"
+	"quillrail/internal/fleet/replog"
 )
 
 // saved is what a gateway keeps besides the log: the highest incarnations that it has heard of, and its copy.
 type saved struct {
 	ID    uint64
-	Lives map[string]lives
+	Lives map[string]incarnations
 	Copy  []byte
 }
 
 const maxLives = 4096
 
 // Save returns the copy and the incarnations.
-func (a *Accord) Save() func() ([]byte, error) {
-	s := saved{ID: a.id, Lives: map[string]lives{}}
+func (a *Agent) Save() func() ([]byte, error) {
+	s := saved{ID: a.id, Lives: map[string]incarnations{}}
 	for name, n := range a.lives {
 		s.Lives[name] = n
 	}
@@ -34,7 +34,7 @@
 }
 
 // Handed is what a process that takes over is given.
-func (a *Accord) Handed() []byte {
+func (a *Agent) Handed() []byte {
 	if st := a.State(); st != nil {
 		if b, err := st.Encode(); err == nil {
 			return b
@@ -44,7 +44,7 @@
 }
 
 // told logs what operators want to see.
-func (a *Accord) told(x agree.Applied) {
+func (a *Agent) told(x replog.Applied) {
 	if x.Entry.Kind == "see" {
 		return
 	}
@@ -62,7 +62,7 @@
 }
 
 // Figures shows how far the agreement is known.
-func (a *Accord) Figures(show func(name string, value int)) {
+func (a *Agent) Figures(show func(name string, value int)) {
 	role := 0
 	if a.group != nil {
 		role = 1
@@ -93,16 +93,16 @@
 }
 
 // Told notes a change of the list of workers, and Observe the end of a call.
-func (a *Accord) Told(whole bool, members []core.Member) { a.sight.told(whole, members) }
+func (a *Agent) Told(whole bool, members []core.Member) { a.sight.told(whole, members) }
 
 // Observe takes the record of a request that has ended.
-func (a *Accord) Observe(r core.Record) { a.sight.observe(a, r) }
+func (a *Agent) Observe(r core.Record) { a.sight.observe(a, r) }
 
 // Count notes a call that was answered before the core had it.
-func (a *Accord) Count(class int, answer string) { a.sight.count(a, class, answer) }
+func (a *Agent) Count(class int, answer string) { a.sight.count(a, class, answer) }
 
 // hallName is a hall by its number in the settings.
-func (a *Accord) hallName(zone int) string {
+func (a *Agent) hallName(zone int) string {
 	if zone >= 0 && zone < len(a.o.Halls) {
 		return a.o.Halls[zone]
 	}
--- a/internal/fleet/accord/sites.go
+++ b/internal/fleet/agreement/sites.go
@@ -1,4 +1,4 @@
-package accord
+package agreement
 
 import (
 	"fmt"
@@ -6,9 +6,9 @@
 	"time"
 
 	"quillrail/internal/core"
-	"quillrail/internal/fleet/agree"
 	"quillrail/internal/fleet/change"
 	"quillrail/internal/fleet/guard"
+	"quillrail/internal/fleet/replog"
 	"quillrail/internal/fleet/site"
 )
 
@@ -20,7 +20,7 @@
 
 // Place says where a call may run: zones are the numbers of its sites, nil for all; why is the reason if it may run nowhere
 // now. epoch is that of its session's site, 0 where it has none.
-func (a *Accord) Place(call *core.Call) (zones []int, epoch uint64, why string, pause time.Duration) {
+func (a *Agent) Place(call *core.Call) (zones []int, epoch uint64, why string, pause time.Duration) {
 	st := a.State()
 	if st == nil && len(a.o.Own) == 0 {
 		if a.o.First == nil || !guard.On("asks first") {
@@ -33,7 +33,7 @@
 		c.Tenant = a.o.Tenants[call.Tenant]
 	}
 	if st == nil {
-		st = &agree.State{Site: &site.State{}}
+		st = &replog.State{Site: &site.State{}}
 	}
 	agreed := st.Site
 	if !guard.On("session epoch") { // each moves sessions by what it sees itself
@@ -74,7 +74,7 @@
 }
 
 // session is what a call names its session by.
-func (a *Accord) session(call *core.Call) string {
+func (a *Agent) session(call *core.Call) string {
 	switch a.o.Session {
 	case "tenant":
 		return fmt.Sprint(call.Tenant)
@@ -85,7 +85,7 @@
 }
 
 // ZoneOf is the number of the hall that a worker is listed in, -1 for none.
-func (a *Accord) ZoneOf(worker string) int {
+func (a *Agent) ZoneOf(worker string) int {
 	if m, ok := a.sight.members[worker]; ok {
 		return m.Zone
 	}
@@ -93,7 +93,7 @@
 }
 
 // serves reports whether a worker that is not left out is listed in one of the zones.
-func (a *Accord) serves(zones []int) bool {
+func (a *Agent) serves(zones []int) bool {
 	for name, m := range a.sight.members {
 		if ready(m) && slices.Contains(zones, m.Zone) && !a.held.banned[name] {
 			return true
@@ -103,7 +103,7 @@
 }
 
 // sites sees to halls that are lost or back, and to restrictions that wait until all have heard of them.
-func (a *Accord) sites(st *agree.State, now time.Duration) {
+func (a *Agent) sites(st *replog.State, now time.Duration) {
 	l := &a.lead
 	busy, dark, heard := map[string]bool{}, map[string]int{}, 0
 	for _, r := range l.reports {
@@ -143,20 +143,20 @@
 		switch {
 		case !down && gone > a.o.Lost:
 			l.lost[h] = now
-			a.put("lose", agree.NameBody{Name: h})
+			a.put("lose", replog.NameBody{Name: h})
 		case down && back > backFor:
-			a.put("back", agree.NameBody{Name: h})
+			a.put("back", replog.NameBody{Name: h})
 		}
 	}
 	for _, r := range st.Site.Loosening() {
 		if a.allHave(st, r.ID, now) {
-			a.put("widen", agree.NameBody{Name: r.Name})
+			a.put("widen", replog.NameBody{Name: r.Name})
 		}
 	}
 }
 
 // allHave reports whether every gateway has applied an entry, or is known to be out: by a permit, or because it has left.
-func (a *Accord) allHave(st *agree.State, index uint64, now time.Duration) bool {
+func (a *Agent) allHave(st *replog.State, index uint64, now time.Duration) bool {
 	if !guard.On("all have heard") {
 		return true
 	}
@@ -176,7 +176,7 @@
 }
 
 // Bears is what the workers at halls bear, and what calls that a restriction is for ask, as measured now.
-func (a *Accord) Bears(r *site.Restriction, st *agree.State) (workers int, load float64) {
+func (a *Agent) Bears(r *site.Restriction, st *replog.State) (workers int, load float64) {
 	for t, k := range st.Change.Things {
 		if t.Kind() == change.Worker && k.Health == change.Well && slices.Contains(r.Sites, k.Hall) {
 			workers++
--- a/internal/fleet/change/rehearse/gateway.go
+++ b/internal/fleet/change/simulation/gateway.go
@@ -1,4 +1,4 @@
-package rehearse
+package simulation
 
 import (
 	"math"
@@ -7,7 +7,7 @@
 	"quillrail/internal/fleet/change"
 )
 
-// report and beat are what gateways tell each other besides entries, in the form of package accord.
+// report and beat are what gateways tell each other besides entries, in the form of package agreement.
 type (
 	report struct {
 		Name, Hall, Version, Config string
--- a/internal/fleet/change/rehearse/rehearse.go
+++ b/internal/fleet/change/simulation/rehearse.go
@@ -1,7 +1,7 @@
-// Package rehearse plays releases and drains over fleets of a size that no machine has sockets for, on a clock of its own:
+// Package simulation plays releases and drains over fleets of a size that no machine has sockets for, on a clock of its own:
 // the permits, waves, comparisons and limits are those of package change; gateways, their calls and those who restart them
 // are a few lines each. Same seed, same play.
-package rehearse
+package simulation
 
 import (
 	"fmt"
--- a/internal/fleet/change/rehearse/rehearse_test.go
+++ b/internal/fleet/change/simulation/rehearse_test.go
@@ -1,4 +1,4 @@
-package rehearse
+package simulation
 
 import (
 	"os"
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -117,7 +117,7 @@
 	n.post()
 	o := member.Options{Fleet: n.set.Fleet, Bind: n.set.Bind, Seeds: n.set.Seeds, Via: n.set.Via, Self: self}
 	go func() {
-		t, err := member.Open(o, (*ear)(n), n.log)
+		t, err := member.Open(o, (*receiver)(n), n.log)
 		if err != nil {
 			n.loop.Post(func() { n.join(nil, err) })
 			return
--- a/internal/fleet/part.go
+++ b/internal/fleet/part.go
@@ -25,7 +25,7 @@
 	// Tick is the node's pace.
 	Tick(now time.Duration)
 	// Hear takes a message of the same part at another gateway.
-	Hear(m Heard)
+	Hear(m Received)
 	// Saw takes what has become of another gateway.
 	Saw(e member.Event, what member.What)
 	// Tell returns what a gateway that asks is told, nil for nothing.
@@ -49,7 +49,7 @@
 func (Base) Tick(time.Duration) {}
 
 // Hear does nothing.
-func (Base) Hear(Heard) {}
+func (Base) Hear(Received) {}
 
 // Saw does nothing.
 func (Base) Saw(member.Event, member.What) {}
@@ -63,19 +63,19 @@
 // Figures does nothing.
 func (Base) Figures(func(name string, v int)) {}
 
-// How says by which way a message came.
-type How int
+// Channel says by which way a message came.
+type Channel int
 
 // The ways.
 const (
-	Word    How = iota // what another one knows, in answer to a question or unasked
-	News               // told to all
-	Message            // told to this gateway
+	Answer    Channel = iota // what another one knows, in answer to a question or unasked
+	Broadcast                // told to all
+	Message                  // told to this gateway
 )
 
-// Heard is a message of a part at another gateway.
-type Heard struct {
-	How  How
+// Received is a message of a part at another gateway.
+type Received struct {
+	How  Channel
 	From string // "" of a Word
 	Life uint64
 	Body []byte
--- a/internal/fleet/ear.go
+++ b/internal/fleet/receiver.go
@@ -15,19 +15,19 @@
 	maxPart  = 32 // bytes of a part's name
 )
 
-// word is what is told to one who asks, by part.
-type word map[string][]byte
+// answer is what is told to one who asks, by part.
+type answer map[string][]byte
 
 // Check reports what no word can hold.
-func (w word) Check() error {
+func (w answer) Check() error {
 	if len(w) > maxParts {
 		return fmt.Errorf("fleet: a word of %d parts", len(w))
 	}
 	return nil
 }
 
-// news is a part's news to all.
-type news struct {
+// broadcast is a part's news to all.
+type broadcast struct {
 	From string
 	Life uint64
 	Part string
@@ -35,7 +35,7 @@
 }
 
 // Check reports what no news can hold.
-func (x *news) Check() error {
+func (x *broadcast) Check() error {
 	if x.From == "" || x.Life == 0 || len(x.Part) > maxPart {
 		return fmt.Errorf("fleet: news of %q, life %d", x.From, x.Life)
 	}
@@ -44,7 +44,7 @@
 
 // post puts down what others are told when they ask.
 func (n *Node) post() {
-	w := word{}
+	w := answer{}
 	for _, p := range n.parts {
 		if b := p.Tell(); b != nil {
 			w[p.Name()] = b
@@ -60,7 +60,7 @@
 
 // news tells all the others by gossip.
 func (n *Node) news(part string, body []byte) bool {
-	b, err := msgpack.Marshal(&news{From: n.name, Life: n.life.N, Part: part, Body: body})
+	b, err := msgpack.Marshal(&broadcast{From: n.name, Life: n.life.N, Part: part, Body: body})
 	if err != nil || n.net == nil || !n.net.Tell(b) {
 		n.late++
 		return false
@@ -69,7 +69,7 @@
 }
 
 // hear gives a message to the part that it is for; one of a part that is not here is of a newer version.
-func (n *Node) hear(part string, m Heard) {
+func (n *Node) hear(part string, m Received) {
 	for _, p := range n.parts {
 		if p.Name() == part {
 			p.Hear(m)
@@ -79,30 +79,30 @@
 
 // heard takes what another gateway knows.
 func (n *Node) heard(b []byte) {
-	var w word
+	var w answer
 	if err := decode(b, &w); err != nil {
 		n.log.Warn("another gateway's word is not understood", zap.Error(err))
 		return
 	}
 	for _, p := range n.parts {
 		if body, ok := w[p.Name()]; ok {
-			p.Hear(Heard{How: Word, Body: body})
+			p.Hear(Received{How: Answer, Body: body})
 		}
 	}
 }
 
 // heardNews takes a piece of news.
 func (n *Node) heardNews(b []byte) {
-	var x news
+	var x broadcast
 	if err := decode(b, &x); err != nil {
 		n.log.Warn("news are not understood", zap.Error(err))
 		return
 	}
-	n.spoken(x.Part, Heard{How: News, From: x.From, Life: x.Life, Body: x.Body})
+	n.spoken(x.Part, Received{How: Broadcast, From: x.From, Life: x.Life, Body: x.Body})
 }
 
 // spoken hears another gateway, unless it speaks of a life that was followed by another.
-func (n *Node) spoken(part string, m Heard) {
+func (n *Node) spoken(part string, m Received) {
 	if m.From != n.name && m.Life >= n.view.Heard(m.From) {
 		n.hear(part, m)
 	}
@@ -154,10 +154,10 @@
 	}
 }
 
-// ear is the side of a Node that the transport sees, on its own goroutines.
-type ear Node
+// receiver is the side of a Node that the transport sees, on its own goroutines.
+type receiver Node
 
-func (e *ear) post(f func(n *Node)) {
+func (e *receiver) post(f func(n *Node)) {
 	n := (*Node)(e)
 	n.loop.Post(func() {
 		if !n.ended {
@@ -166,21 +166,21 @@
 	})
 }
 
-func (e *ear) Event(x member.Event) { e.post(func(n *Node) { n.event(x) }) }
-func (e *ear) Heard(b []byte)       { e.post(func(n *Node) { n.heard(b) }) }
-func (e *ear) News(b []byte)        { e.post(func(n *Node) { n.heardNews(b) }) }
-func (e *ear) Trouble(what string) {
+func (e *receiver) Event(x member.Event) { e.post(func(n *Node) { n.event(x) }) }
+func (e *receiver) Heard(b []byte)       { e.post(func(n *Node) { n.heard(b) }) }
+func (e *receiver) News(b []byte)        { e.post(func(n *Node) { n.heardNews(b) }) }
+func (e *receiver) Trouble(what string) {
 	e.post(func(n *Node) { n.log.Warn("fleet", zap.String("what", what)) })
 }
-func (e *ear) Message(from link.Hello, m link.Message, taken func()) {
+func (e *receiver) Message(from link.Hello, m link.Message, taken func()) {
 	n := (*Node)(e)
 	n.loop.Post(func() {
 		if taken(); !n.ended {
-			n.spoken(m.Part, Heard{How: Message, From: from.Name, Life: from.Life, Body: m.Body})
+			n.spoken(m.Part, Received{How: Message, From: from.Name, Life: from.Life, Body: m.Body})
 		}
 	})
 }
-func (e *ear) Word() []byte {
+func (e *receiver) Word() []byte {
 	if b := e.word.Load(); b != nil {
 		return *b
 	}
--- a/internal/fleet/recover/words.go
+++ b/internal/fleet/recover/answer.go
@@ -6,19 +6,19 @@
 	"time"
 )
 
-// Word is what a gateway tells another that asks. Times are ages, so that no two clocks are compared.
-type Word struct {
-	Event    uint64             // the last event of the list that it has taken
-	Draining []string           // workers that this list has draining
-	Marks    Marks              // operators' words
-	Started  map[string]int64   // ms since the start of workers that are cold, or were of late
-	Stands   map[string][]Stand // copies that have been found, by function
-	Rate     float64            // calls a second that it serves
-	Full     bool               // it is in full service
+// Answer is what a gateway tells another that asks. Times are ages, so that no two clocks are compared.
+type Answer struct {
+	Event    uint64            // the last event of the list that it has taken
+	Draining []string          // workers that this list has draining
+	Marks    Checkpoints       // operators' words
+	Started  map[string]int64  // ms since the start of workers that are cold, or were of late
+	Stands   map[string][]Copy // copies that have been found, by function
+	Rate     float64           // calls a second that it serves
+	Full     bool              // it is in full service
 }
 
-// Stand is a copy at a worker, found so many ms ago.
-type Stand struct {
+// Copy is a copy at a worker, found so many ms ago.
+type Copy struct {
 	Worker string
 	Age    int64
 }
@@ -30,7 +30,7 @@
 )
 
 // Check reports what no word can hold.
-func (w *Word) Check() error {
+func (w *Answer) Check() error {
 	if len(w.Draining) > maxList || len(w.Started) > maxList || len(w.Stands) > maxFunctions || !(w.Rate >= 0 && w.Rate <= maxRate) {
 		return fmt.Errorf("recover: word of %d draining, %d cold, %d functions, %v calls a second", len(w.Draining), len(w.Started),
 			len(w.Stands), w.Rate)
@@ -55,7 +55,7 @@
 
 // Agreed is what the words of others come to. Each is put together so that a mistake is the safe one.
 type Agreed struct {
-	Marks    Marks
+	Marks    Checkpoints
 	Event    uint64                   // the newest list that anybody has
 	Draining map[string]uint64        // draining for somebody, by the newest list that says so
 	Started  map[string]time.Duration // the latest start of a worker, as a time of our clock
@@ -67,12 +67,12 @@
 
 // NewAgreed returns what is known before anybody has answered.
 func NewAgreed() *Agreed {
-	return &Agreed{Marks: Marks{}, Draining: map[string]uint64{}, Started: map[string]time.Duration{},
+	return &Agreed{Marks: Checkpoints{}, Draining: map[string]uint64{}, Started: map[string]time.Duration{},
 		Stands: map[string]map[string]time.Duration{}}
 }
 
 // Add puts in the word of one more gateway, heard at now. The order of words is of no account.
-func (a *Agreed) Add(w *Word, now time.Duration) {
+func (a *Agreed) Add(w *Answer, now time.Duration) {
 	a.Words++
 	if w.Full {
 		a.Full++
--- a/internal/fleet/recover/marks.go
+++ b/internal/fleet/recover/checkpoints.go
@@ -13,26 +13,26 @@
 	maxMembers = 4096 // gateways in a fleet
 )
 
-// Mark is an operators' word on one worker. Of two words the one with the higher Seq counts, and of two with the same the
+// Checkpoint is an operators' word on one worker. Of two words the one with the higher Seq counts, and of two with the same the
 // one that leaves the worker out: who did not hear of the other must not use it.
-type Mark struct {
+type Checkpoint struct {
 	Seq    uint64        // grows with each word on this worker, wherever it is spoken
 	Banned bool          // left out
 	Since  time.Duration // the worker's start as it was listed then
 }
 
-// Marks is a replicated register for each worker: joining any two in any order, however often, gives the same.
-type Marks map[string]Mark
+// Checkpoints is a replicated register for each worker: joining any two in any order, however often, gives the same.
+type Checkpoints map[string]Checkpoint
 
 // Say notes a word spoken here and returns it.
-func (m Marks) Say(id string, banned bool, since time.Duration) Mark {
-	k := Mark{Seq: m[id].Seq + 1, Banned: banned, Since: since}
+func (m Checkpoints) Say(id string, banned bool, since time.Duration) Checkpoint {
+	k := Checkpoint{Seq: m[id].Seq + 1, Banned: banned, Since: since}
 	m[id] = k
 	return k
 }
 
 // Newer reports whether k counts where old was known.
-func (k Mark) Newer(old Mark) bool {
+func (k Checkpoint) Newer(old Checkpoint) bool {
 	if k.Seq != old.Seq {
 		return k.Seq > old.Seq
 	}
@@ -41,7 +41,7 @@
 
 // Join takes over what others know, and returns the workers of which something new was learnt, in order. What finds no
 // room is left out and counted by refused.
-func (m Marks) Join(others Marks) (news []string, refused int) {
+func (m Checkpoints) Join(others Checkpoints) (news []string, refused int) {
 	for _, id := range slices.Sorted(maps.Keys(others)) {
 		k, old := others[id], m[id]
 		_, known := m[id]
@@ -58,7 +58,7 @@
 }
 
 // Check reports what no marks can hold.
-func (m Marks) Check() error {
+func (m Checkpoints) Check() error {
 	if len(m) > maxMarks {
 		return fmt.Errorf("recover: %d marks", len(m))
 	}
--- a/internal/fleet/recover/course.go
+++ b/internal/fleet/recover/phases.go
@@ -26,24 +26,24 @@
 	AdmitLimit = 60 * time.Second
 )
 
-// Course is a gateway's way through the phases. Its times are of any clock that does not go back.
-type Course struct {
+// Phases is a gateway's way through the phases. Its times are of any clock that does not go back.
+type Phases struct {
 	phase  Phase
 	since  time.Duration
 	poorer []string
 }
 
-// NewCourse begins at now.
-func NewCourse(now time.Duration) *Course { return &Course{since: now} }
+// NewPhases begins at now.
+func NewPhases(now time.Duration) *Phases { return &Phases{since: now} }
 
 // Phase is the present phase.
-func (c *Course) Phase() Phase { return c.phase }
+func (c *Phases) Phase() Phase { return c.phase }
 
 // Since is when the present phase began.
-func (c *Course) Since() time.Duration { return c.since }
+func (c *Phases) Since() time.Duration { return c.since }
 
 // Poorer is what the gateway has had to go on without.
-func (c *Course) Poorer() []string { return c.poorer }
+func (c *Phases) Poorer() []string { return c.poorer }
 
 // Limit is the longest that a phase may last.
 func (p Phase) Limit() time.Duration {
@@ -52,7 +52,7 @@
 
 // Pass ends a phase; without names what was missed, "" if nothing was. It reports whether the phase was the present one:
 // what comes later than its limit is late, and changes nothing.
-func (c *Course) Pass(now time.Duration, p Phase, without string) bool {
+func (c *Phases) Pass(now time.Duration, p Phase, without string) bool {
 	if p != c.phase || p == Full {
 		return false
 	}
@@ -64,7 +64,7 @@
 }
 
 // Due reports whether the present phase has lasted too long.
-func (c *Course) Due(now time.Duration) bool {
+func (c *Phases) Due(now time.Duration) bool {
 	limit := c.phase.Limit()
 	return limit > 0 && now-c.since >= limit
 }
--- a/internal/fleet/recover/course_test.go
+++ b/internal/fleet/recover/phases_test.go
@@ -11,7 +11,7 @@
 
 // Phases follow each other, each ends once, and what comes late changes nothing.
 func TestCourse(t *testing.T) {
-	c := NewCourse(wall)
+	c := NewPhases(wall)
 	for now, p := wall, Reading; p < Full; p++ {
 		if c.Due(now) || !c.Due(now+p.Limit()) {
 			t.Errorf("%v is due at the wrong time", p)
@@ -78,7 +78,7 @@
 	}
 	for i, change := range []func(*Saved){func(s *Saved) { s.Addrs = nil }, func(s *Saved) { s.Former = -1 }, func(s *Saved) { s.Alive = -1 },
 		func(s *Saved) { s.List = []decide.Host{{}} }, func(s *Saved) { s.List = []decide.Host{{Name: "w", State: 9}} },
-		func(s *Saved) { s.Marks = Marks{"": {}} }} {
+		func(s *Saved) { s.Marks = Checkpoints{"": {}} }} {
 		s := good
 		if change(&s); s.Check() == nil {
 			t.Errorf("change %d is not noticed", i)
--- a/internal/fleet/recover/recover_test.go
+++ b/internal/fleet/recover/recover_test.go
@@ -113,17 +113,17 @@
 	})
 }
 
-func marks(t *rapid.T, name string) Marks {
-	return rapid.MapOf(rapid.SampledFrom([]string{"a", "b", "c"}), rapid.Custom(func(t *rapid.T) Mark {
-		return Mark{rapid.Uint64Range(1, 4).Draw(t, "seq"), rapid.Bool().Draw(t, "banned"),
+func marks(t *rapid.T, name string) Checkpoints {
+	return rapid.MapOf(rapid.SampledFrom([]string{"a", "b", "c"}), rapid.Custom(func(t *rapid.T) Checkpoint {
+		return Checkpoint{rapid.Uint64Range(1, 4).Draw(t, "seq"), rapid.Bool().Draw(t, "banned"),
 			time.Duration(rapid.Int64Range(0, 2).Draw(t, "since"))}
 	})).Draw(t, name)
 }
 
 // Marks come to the same in whatever order they are joined and however often; of two words of one number the ban counts.
 func TestMarksConverge(t *testing.T) {
-	join := func(all ...Marks) Marks {
-		m := Marks{}
+	join := func(all ...Checkpoints) Checkpoints {
+		m := Checkpoints{}
 		for _, x := range all {
 			m.Join(x)
 		}
@@ -136,7 +136,7 @@
 			t.Fatalf("%v and %v", one, other)
 		}
 		for id, k := range one {
-			for _, m := range []Marks{a, b, c} {
+			for _, m := range []Checkpoints{a, b, c} {
 				if o, ok := m[id]; ok && (o.Seq > k.Seq || o.Seq == k.Seq && o.Banned && !k.Banned) {
 					t.Fatalf("%v is forgotten for %v", o, k)
 				}
@@ -147,22 +147,22 @@
 			t.Fatalf("%v does not follow %v", k, was)
 		}
 	})
-	full := Marks{}
+	full := Checkpoints{}
 	for i := range maxMarks {
-		full[string(rune(0x4e00+i))] = Mark{Seq: 1}
+		full[string(rune(0x4e00+i))] = Checkpoint{Seq: 1}
 	}
-	if _, refused := full.Join(Marks{"one more": {Seq: 1, Banned: true}}); refused != 1 || len(full) != maxMarks {
+	if _, refused := full.Join(Checkpoints{"one more": {Seq: 1, Banned: true}}); refused != 1 || len(full) != maxMarks {
 		t.Errorf("%d refused, %d marks", refused, len(full))
 	}
 }
 
 // Words come to the same in any order: the newest list, whoever drains for anybody, the latest start, the latest find.
 func TestWordsAreJoinedTowardsSafety(t *testing.T) {
-	a := &Word{Event: 5, Draining: []string{"x"}, Started: map[string]int64{"y": 3000}, Stands: map[string][]Stand{"f": {{"x", 500}}}, Rate: 10}
-	b := &Word{Event: 8, Started: map[string]int64{"y": 1000}, Stands: map[string][]Stand{"f": {{"x", 100}, {"z", 0}}}, Rate: 20, Full: true,
-		Marks: Marks{"w": {Seq: 1, Banned: true}}}
+	a := &Answer{Event: 5, Draining: []string{"x"}, Started: map[string]int64{"y": 3000}, Stands: map[string][]Copy{"f": {{"x", 500}}}, Rate: 10}
+	b := &Answer{Event: 8, Started: map[string]int64{"y": 1000}, Stands: map[string][]Copy{"f": {{"x", 100}, {"z", 0}}}, Rate: 20, Full: true,
+		Marks: Checkpoints{"w": {Seq: 1, Banned: true}}}
 	one, other := NewAgreed(), NewAgreed()
-	for _, w := range []*Word{a, b} {
+	for _, w := range []*Answer{a, b} {
 		if err := w.Check(); err != nil {
 			t.Fatal(err)
 		}
@@ -179,8 +179,8 @@
 	if held := one.Held(4); held["x"] != 5 || len(one.Held(5)) != 0 {
 		t.Errorf("held: %v, and once the list is there %v", held, one.Held(5))
 	}
-	for _, w := range []Word{{Rate: -1}, {Started: map[string]int64{"": 1}}, {Started: map[string]int64{"a": -1}},
-		{Stands: map[string][]Stand{"f": {{"", 1}}}}, {Stands: map[string][]Stand{"f": {{"w", maxAge + 1}}}}, {Marks: Marks{"": {}}}} {
+	for _, w := range []Answer{{Rate: -1}, {Started: map[string]int64{"": 1}}, {Started: map[string]int64{"a": -1}},
+		{Stands: map[string][]Copy{"f": {{"", 1}}}}, {Stands: map[string][]Copy{"f": {{"w", maxAge + 1}}}}, {Marks: Checkpoints{"": {}}}} {
 		if w.Check() == nil {
 			t.Errorf("heeded: %+v", w)
 		}
--- a/internal/fleet/recover/trust.go
+++ b/internal/fleet/recover/trust.go
@@ -92,7 +92,7 @@
 	List   []decide.Host // the workers as the list had them then
 	Addrs  []string      // where they listen, in the same order
 	Roster roster.Saved
-	Marks  Marks          // who was left out by hand, with the order of it
+	Marks  Checkpoints    // who was left out by hand, with the order of it
 	Module *decide.Memory // what the module had learnt; nil if it could not be kept
 	Former float64        // calls a second that this gateway served in normal service, 0 if not known
 	Alive  int            // gateways of the fleet, this one too
--- a/internal/fleet/comeback.go
+++ b/internal/fleet/recovery.go
@@ -22,9 +22,9 @@
 // is measured against; only tests set it.
 var TrustAll bool
 
-// Comeback is the part that brings a gateway back after a loss of power: it runs a recover.Course, and keeps what operators
+// Recovery is the part that brings a gateway back after a loss of power: it runs a recover.Course, and keeps what operators
 // have said of workers the same at all gateways.
-type Comeback struct {
+type Recovery struct {
 	Base
 	h    *Host
 	gw   Gateway
@@ -33,9 +33,9 @@
 	rank []float64    // worth by class
 	left []roster.Ban // of the gateway's state file
 
-	course *recover.Course
+	course *recover.Phases
 	saved  *recover.Saved
-	marks  recover.Marks
+	marks  recover.Checkpoints
 	agreed *recover.Agreed
 	admit  *recover.Admission
 	former float64
@@ -50,24 +50,24 @@
 	late    int // functions and workers that were not told for want of room
 }
 
-// NewComeback returns the part. rank is the worth of each class; left are bans that the gateway knows from elsewhere, and
+// NewRecovery returns the part. rank is the worth of each class; left are bans that the gateway knows from elsewhere, and
 // of which a word of the fleet counts more.
-func NewComeback(h *Host, gw Gateway, set *Settings, lim recover.Limits, rank []float64, left []roster.Ban) *Comeback {
-	return &Comeback{h: h, gw: gw, set: set, lim: lim, rank: rank, left: left, course: recover.NewCourse(h.Now()), marks: recover.Marks{},
+func NewRecovery(h *Host, gw Gateway, set *Settings, lim recover.Limits, rank []float64, left []roster.Ban) *Recovery {
+	return &Recovery{h: h, gw: gw, set: set, lim: lim, rank: rank, left: left, course: recover.NewPhases(h.Now()), marks: recover.Checkpoints{},
 		agreed: recover.NewAgreed(), members: map[string]core.Member{}, held: map[string]uint64{}}
 }
 
 // Name names the part's messages and its entry on disk.
-func (c *Comeback) Name() string { return "state" }
+func (c *Recovery) Name() string { return "state" }
 
 // Start is called before the node's: serves says that this process has taken over from one that served.
-func (c *Comeback) Start(serves bool) {
-	c.serves, c.course = serves, recover.NewCourse(c.h.Now())
+func (c *Recovery) Start(serves bool) {
+	c.serves, c.course = serves, recover.NewPhases(c.h.Now())
 	c.h.Log().Info("coming back", zap.Stringer("phase", c.course.Phase()))
 }
 
 // Begin takes the former state.
-func (c *Comeback) Begin(saved []byte, late bool) {
+func (c *Recovery) Begin(saved []byte, late bool) {
 	without := ""
 	if saved != nil {
 		s := &recover.Saved{}
@@ -95,7 +95,7 @@
 }
 
 // Joined gives the gateway what it begins with.
-func (c *Comeback) Joined() {
+func (c *Recovery) Joined() {
 	without := ""
 	if c.agreed.Words == 0 {
 		without = "the others' word"
@@ -105,7 +105,7 @@
 	}
 }
 
-func (c *Comeback) begin() {
+func (c *Recovery) begin() {
 	b := Begin{}
 	own := c.gw.Event()
 	if s := c.saved; s != nil {
@@ -155,14 +155,14 @@
 }
 
 // Current says that the bulletin has spoken: the list is up to date.
-func (c *Comeback) Current() {
+func (c *Recovery) Current() {
 	if c.course.Phase() == recover.Listing && c.pass(recover.Listing, "") {
 		c.open()
 	}
 }
 
 // Tick is the pace of the phases.
-func (c *Comeback) Tick(now time.Duration) {
+func (c *Recovery) Tick(now time.Duration) {
 	if p := c.course.Phase(); c.course.Due(now) {
 		switch p {
 		case recover.Listing:
@@ -186,7 +186,7 @@
 	}
 }
 
-func (c *Comeback) pass(p recover.Phase, without string) bool {
+func (c *Recovery) pass(p recover.Phase, without string) bool {
 	before := c.course.Since()
 	if !c.course.Pass(c.h.Now(), p, without) {
 		return false
@@ -205,15 +205,15 @@
 }
 
 // Phase is how far the gateway has come back.
-func (c *Comeback) Phase() recover.Phase { return c.course.Phase() }
+func (c *Recovery) Phase() recover.Phase { return c.course.Phase() }
 
 // Course says it in words, with what it goes on without.
-func (c *Comeback) Course() (phase string, without []string) {
+func (c *Recovery) Course() (phase string, without []string) {
 	return c.course.Phase().String(), c.course.Poorer()
 }
 
 // Figures shows how far the gateway has come back.
-func (c *Comeback) Figures(show func(name string, value int)) {
+func (c *Recovery) Figures(show func(name string, value int)) {
 	show("phase", int(c.course.Phase()))
 	show("poorer", len(c.course.Poorer()))
 	show("held", len(c.held))
@@ -221,7 +221,7 @@
 }
 
 // Save returns what is known now.
-func (c *Comeback) Save() func() ([]byte, error) {
+func (c *Recovery) Save() func() ([]byte, error) {
 	if !c.begun {
 		return nil
 	}
--- a/internal/fleet/agree/claim.go
+++ b/internal/fleet/replog/eligibility.go
@@ -1,4 +1,4 @@
-package agree
+package replog
 
 import (
 	"cmp"
@@ -17,27 +17,27 @@
 	Forfeits                // its disk is not the newest: the vote is given up, and the gateway is another one
 )
 
-// Claim decides whether a gateway that starts may vote by its disk: a disk that came back older would vote a second time, or
+// Eligibility decides whether a gateway that starts may vote by its disk: a disk that came back older would vote a second time, or
 // not know what it had promised to keep. Its incarnation is one more than the one on the disk, so that anybody who has
 // heard of this one or a later one has met a process that wrote to a newer disk.
-type Claim struct {
+type Eligibility struct {
 	Name   string
 	Life   uint64 // of this process, as it follows from the disk
 	Voters []Voter
 	heard  map[string]uint64
 }
 
-// NewClaim begins one: nobody has answered.
-func NewClaim(name string, life uint64, voters []Voter) *Claim {
-	return &Claim{Name: name, Life: life, Voters: voters, heard: map[string]uint64{}}
+// NewEligibility begins one: nobody has answered.
+func NewEligibility(name string, life uint64, voters []Voter) *Eligibility {
+	return &Eligibility{Name: name, Life: life, Voters: voters, heard: map[string]uint64{}}
 }
 
 // Answer takes the highest incarnation of this gateway that another one knows of, before it heard of this process.
-func (c *Claim) Answer(from string, life uint64) { c.heard[from] = max(c.heard[from], life) }
+func (c *Eligibility) Answer(from string, life uint64) { c.heard[from] = max(c.heard[from], life) }
 
 // Verdict is what follows from the answers so far. With itself those who have answered have to be a majority of the voters:
 // one of any majority that a former life took part in is then among them, itself left out.
-func (c *Claim) Verdict() Verdict {
+func (c *Eligibility) Verdict() Verdict {
 	if !guard.On("voter identity") {
 		return May
 	}
@@ -62,9 +62,9 @@
 	return May
 }
 
-// Seats decides who is taken in and who is removed, one at a time: voters that are out for long are replaced, by gateways
+// Membership decides who is taken in and who is removed, one at a time: voters that are out for long are replaced, by gateways
 // of halls without a voter first.
-type Seats struct {
+type Membership struct {
 	Want   int   // voters
 	LostMs int64 // after so long a voter counts as lost
 }
@@ -80,7 +80,7 @@
 }
 
 // Next returns the next change, if one is due. all are the gateways that are known of, voters among them.
-func (s Seats) Next(state *State, self uint64, all []Candidate) (v Voter, gone, ok bool) {
+func (s Membership) Next(state *State, self uint64, all []Candidate) (v Voter, gone, ok bool) {
 	find := func(id uint64) *Candidate {
 		for i := range all {
 			if all[i].ID == id {
--- a/internal/fleet/agree/claim_test.go
+++ b/internal/fleet/replog/eligibility_test.go
@@ -1,4 +1,4 @@
-package agree
+package replog
 
 import (
 	"fmt"
@@ -53,7 +53,7 @@
 		return false
 	}
 	claim := func(life, known uint64) bool {
-		c := NewClaim("b", life, []Voter{{ID: 1, Name: "a"}, {ID: 2, Name: "b"}, {ID: 3, Name: "c"}})
+		c := NewEligibility("b", life, []Voter{{ID: 1, Name: "a"}, {ID: 2, Name: "b"}, {ID: 3, Name: "c"}})
 		if c.Verdict() == May {
 			return true
 		}
@@ -89,7 +89,7 @@
 
 func TestClaims(t *testing.T) {
 	five := []Voter{{ID: 1, Name: "a"}, {ID: 2, Name: "b"}, {ID: 3, Name: "c"}, {ID: 4, Name: "d"}, {ID: 5, Name: "e"}, {ID: 6, Name: "f", Learner: true}}
-	c := NewClaim("a", 7, five)
+	c := NewEligibility("a", 7, five)
 	c.Answer("f", 6) // learners and strangers don't make a majority
 	c.Answer("x", 6)
 	c.Answer("b", 6)
@@ -111,7 +111,7 @@
 	for i, h := range []string{"h1", "h2", "h3"} {
 		s.seat(Voter{ID: uint64(i + 1), Name: fmt.Sprint("g", i+1), Hall: h}, false)
 	}
-	seats := Seats{Want: 3, LostMs: 1000}
+	seats := Membership{Want: 3, LostMs: 1000}
 	all := []Candidate{{Name: "g1", Hall: "h1", ID: 1, Up: true, Listens: true}, {Name: "g2", Hall: "h2", ID: 2, Up: true, Listens: true},
 		{Name: "g3", Hall: "h3", ID: 3, DownFor: 999}, {Name: "g4", Hall: "h1", ID: 4, Up: true}, {Name: "g5", Hall: "h3", ID: 5, Up: true}}
 	step := func(want string) {
--- a/internal/fleet/agree/entry.go
+++ b/internal/fleet/replog/entry.go
@@ -1,4 +1,4 @@
-package agree
+package replog
 
 import (
 	"errors"
--- a/internal/fleet/agree/open.go
+++ b/internal/fleet/replog/open.go
@@ -1,4 +1,4 @@
-package agree
+package replog
 
 import (
 	"errors"
@@ -9,8 +9,8 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Mail is a message to another voter.
-type Mail struct {
+// Envelope is a message to another voter.
+type Envelope struct {
 	To   uint64
 	Body []byte
 }
@@ -33,7 +33,7 @@
 // else comes meanwhile.
 type Output struct {
 	Write *Write
-	Mail  []Mail
+	Mail  []Envelope
 }
 
 // Applied is an entry of the log that has been applied, and what came of it; Entry is nil for raft's own. Whole says that it
--- a/internal/fleet/agree/ready.go
+++ b/internal/fleet/replog/ready.go
@@ -1,4 +1,4 @@
-package agree
+package replog
 
 import (
 	"fmt"
@@ -57,7 +57,7 @@
 		if err != nil {
 			return nil, err
 		}
-		out.Mail = append(out.Mail, Mail{m.GetTo(), b})
+		out.Mail = append(out.Mail, Envelope{m.GetTo(), b})
 	}
 	return out, nil
 }
--- a/internal/fleet/agree/state.go
+++ b/internal/fleet/replog/state.go
@@ -1,7 +1,7 @@
-// Package agree is what a fleet of gateways has agreed: an ordered log of decisions, held by a few of them that vote, and
+// Package replog is what a fleet of gateways has agreed: an ordered log of decisions, held by a few of them that vote, and
 // followed by all. State is the one value that the log's entries come to; it is pure, and so is Group, a voter's part, which
 // runs etcd's raft with the time, the messages and the disk handed in.
-package agree
+package replog
 
 import (
 	"encoding/json"
--- a/internal/fleet/marks.go
+++ b/internal/fleet/report.go
@@ -19,14 +19,14 @@
 	tellMost  = 40                    // in one piece of news
 )
 
-// finding is what is told unasked.
-type finding struct {
-	Marks  recover.Marks
+// report is what is told unasked.
+type report struct {
+	Marks  recover.Checkpoints
 	Stands []string // functions that were found
 }
 
 // Check reports what no finding can hold.
-func (x *finding) Check() error {
+func (x *report) Check() error {
 	if len(x.Stands) > tellMost {
 		return fmt.Errorf("fleet: news of %d functions", len(x.Stands))
 	}
@@ -34,8 +34,8 @@
 }
 
 // Tell returns what is known, for who asks.
-func (c *Comeback) Tell() []byte {
-	w := &recover.Word{Marks: c.marks, Started: map[string]int64{}, Stands: map[string][]recover.Stand{}, Rate: c.former,
+func (c *Recovery) Tell() []byte {
+	w := &recover.Answer{Marks: c.marks, Started: map[string]int64{}, Stands: map[string][]recover.Copy{}, Rate: c.former,
 		Full: c.course.Phase() == recover.Full}
 	if c.begun {
 		w.Event = c.gw.Event()
@@ -49,7 +49,7 @@
 			}
 		}
 		for _, s := range c.stands {
-			w.Stands[s.Function] = append(w.Stands[s.Function], recover.Stand{Worker: s.Worker, Age: max(0, (now - s.At).Milliseconds())})
+			w.Stands[s.Function] = append(w.Stands[s.Function], recover.Copy{Worker: s.Worker, Age: max(0, (now - s.At).Milliseconds())})
 		}
 	}
 	b, err := msgpack.Marshal(w)
@@ -61,12 +61,12 @@
 }
 
 // Hear takes what another gateway knows, or has found.
-func (c *Comeback) Hear(m Heard) {
-	if m.How == Word {
+func (c *Recovery) Hear(m Received) {
+	if m.How == Answer {
 		c.heard(m.Body)
 		return
 	}
-	var x finding
+	var x report
 	if err := decode(m.Body, &x); err != nil {
 		c.h.Log().Warn("news are not understood", zap.Error(err))
 		return
@@ -79,8 +79,8 @@
 	}
 }
 
-func (c *Comeback) heard(b []byte) {
-	var w recover.Word
+func (c *Recovery) heard(b []byte) {
+	var w recover.Answer
 	if err := decode(b, &w); err != nil {
 		c.h.Log().Warn("another gateway's word is not understood", zap.Error(err))
 		return
@@ -99,25 +99,25 @@
 }
 
 // tellFound passes on what was found while the fleet comes back, so that each function is loaded once for all.
-func (c *Comeback) tellFound() {
+func (c *Recovery) tellFound() {
 	if len(c.found) == 0 || !c.h.May() {
 		return
 	}
 	k := min(tellMost, len(c.found))
-	if b, err := msgpack.Marshal(&finding{Stands: c.found[:k]}); err != nil || !c.h.News(b) {
+	if b, err := msgpack.Marshal(&report{Stands: c.found[:k]}); err != nil || !c.h.News(b) {
 		c.late++
 	}
 	c.found = append([]string(nil), c.found[k:]...)
 }
 
 // Said passes on an operators' word that was spoken here.
-func (c *Comeback) Said(id string, banned bool, since time.Duration) {
+func (c *Recovery) Said(id string, banned bool, since time.Duration) {
 	if k, known := c.marks[id]; known && k.Banned == banned {
 		return
 	}
 	k := c.marks.Say(id, banned, since)
 	c.h.SaveSoon()
-	b, err := msgpack.Marshal(&finding{Marks: recover.Marks{id: k}})
+	b, err := msgpack.Marshal(&report{Marks: recover.Checkpoints{id: k}})
 	if err != nil {
 		c.late++
 		return
@@ -128,7 +128,7 @@
 }
 
 // take puts marks of others into effect.
-func (c *Comeback) take(m recover.Marks) {
+func (c *Recovery) take(m recover.Checkpoints) {
 	newer, refused := c.marks.Join(m)
 	if refused > 0 {
 		c.late += refused
@@ -152,7 +152,7 @@
 }
 
 // Told notes a change of the list; Begin's own, too. It is called after the gateway has taken it.
-func (c *Comeback) Told(whole bool, members []core.Member) {
+func (c *Recovery) Told(whole bool, members []core.Member) {
 	if whole {
 		clear(c.members)
 	}
@@ -167,7 +167,7 @@
 }
 
 // hold leaves alone what others know to drain by a newer list than ours.
-func (c *Comeback) hold() {
+func (c *Recovery) hold() {
 	if !c.begun {
 		return
 	}
--- a/internal/lifecycle/agreed.go
+++ b/internal/lifecycle/agreed.go
@@ -8,11 +8,11 @@
 
 	"quillrail/internal/core"
 	"quillrail/internal/fleet"
-	"quillrail/internal/fleet/accord"
-	"quillrail/internal/fleet/agree"
+	"quillrail/internal/fleet/agreement"
 	"quillrail/internal/fleet/change"
 	"quillrail/internal/fleet/freeze"
 	"quillrail/internal/fleet/recover"
+	"quillrail/internal/fleet/replog"
 	"quillrail/internal/fleet/site"
 	"quillrail/internal/roster"
 	"quillrail/internal/wire/httpfront"
@@ -34,16 +34,16 @@
 	if !f.Agree.Enabled && len(f.Site.Restriction) == 0 {
 		return
 	}
-	o := accord.Options{Name: c.Name, Hall: name(c.Site.Zones, c.Site.Decide.Zone), Halls: c.Site.Zones, Classes: c.Site.Classes, Tenants: c.Site.Tenants,
+	o := agreement.Options{Name: c.Name, Hall: name(c.Site.Zones, c.Site.Decide.Zone), Halls: c.Site.Zones, Classes: c.Site.Classes, Tenants: c.Site.Tenants,
 		Votes: f.Agree.Votes, Replace: time.Duration(f.Agree.Replace * float64(time.Second)), Lost: time.Duration(f.Site.Lost * float64(time.Second)),
-		Limits: f.Change, Rules: agree.Rules{ClockBoundMs: f.Freeze.ClockBoundMs, FreezeAheadMs: int64(f.Freeze.AheadS * 1000)},
+		Limits: f.Change, Rules: replog.Rules{ClockBoundMs: f.Freeze.ClockBoundMs, FreezeAheadMs: int64(f.Freeze.AheadS * 1000)},
 		ColdFor: c.Site.Decide.ColdFor, Session: f.Site.Session, Version: Version, Config: c.ID, Own: restrictions(f)}
 	if f.Agree.Enabled {
 		o.First = f.Agree.Voters
 	}
 	g.node.Add(func(h *fleet.Host) fleet.Part {
-		g.accord = accord.New(h, (*deeds)(g), o)
-		return g.accord
+		g.agreement = agreement.New(h, (*deeds)(g), o)
+		return g.agreement
 	})
 }
 
@@ -80,8 +80,8 @@
 	(*Gateway)(d).sendAway()
 }
 func (d *deeds) Resume()       { (*Gateway)(d).takeAgain() }
-func (d *deeds) Serving() bool { return d.front.Ready() && !d.term }
-func (d *deeds) Warm() bool    { return d.back.Phase() == recover.Full }
+func (d *deeds) Serving() bool { return d.front.Ready() && !d.terminating }
+func (d *deeds) Warm() bool    { return d.recovery.Phase() == recover.Full }
 func (d *deeds) Avoids(id string) bool {
 	return d.core != nil && d.core.Avoids(id)
 }
@@ -101,13 +101,13 @@
 	if d.core != nil {
 		d.core.Adopt(roster.Ban{ID: id, Since: d.core.Since(id)})
 		ban, banned := d.core.Banned(id)
-		d.back.Said(id, banned, ban.Since)
+		d.recovery.Said(id, banned, ban.Since)
 	}
 }
 
 func (d *deeds) CallBack(id string) {
 	if d.core != nil && d.core.Enable(id) == nil {
-		d.back.Said(id, false, 0)
+		d.recovery.Said(id, false, 0)
 	}
 }
 
@@ -136,7 +136,7 @@
 // Thawed looks again at a configuration that came in a freeze.
 func (d *deeds) Thawed() {
 	g := (*Gateway)(d)
-	if g.pending == nil || g.accord.Frozen(freeze.Config) != "" {
+	if g.pending == nil || g.agreement.Frozen(freeze.Config) != "" {
 		return
 	}
 	c := g.pending
@@ -156,22 +156,22 @@
 
 // frozen keeps a configuration back that must not be taken now.
 func (g *Gateway) frozen(c *Config) bool {
-	if g.accord == nil || !g.conf.Fleet.Agree.Enabled {
+	if g.agreement == nil || !g.conf.Fleet.Agree.Enabled {
 		return false
 	}
-	why := g.accord.Frozen(freeze.Config)
+	why := g.agreement.Frozen(freeze.Config)
 	if why == "" {
 		return false
 	}
 	g.kept++
-	g.pending, g.drops = c, g.accord.Drops(freeze.Config)
+	g.pending, g.drops = c, g.agreement.Drops(freeze.Config)
 	g.log.Warn("configuration not taken", zap.String("why", why), zap.String("config", c.ID), zap.Bool("dropped_afterwards", g.drops))
 	return true
 }
 
 // place keeps a call to the sites where alone it may run, or says why it may run nowhere now.
 func (g *Gateway) place(call *core.Call) (pause time.Duration, why string) {
-	zones, epoch, why, pause := g.accord.Place(call)
+	zones, epoch, why, pause := g.agreement.Place(call)
 	if why != "" {
 		return pause, why
 	}
@@ -207,7 +207,7 @@
 var errNoAgreement = fmt.Errorf("this gateway is of no fleet that agrees on anything: see agree in its file")
 
 // asks reports whether drains and bans have to be asked for.
-func (g *Gateway) asks() bool { return g.accord != nil && g.conf.Fleet.Agree.Enabled }
+func (g *Gateway) asks() bool { return g.agreement != nil && g.conf.Fleet.Agree.Enabled }
 
 // self is this gateway as the agreement names it.
 func (g *Gateway) self() change.Thing { return change.Of(change.Gateway, g.conf.Name) }
--- a/internal/lifecycle/build.go
+++ b/internal/lifecycle/build.go
@@ -16,13 +16,13 @@
 	loop, net, log := g.loop, g.net, g.log
 	var observe core.Observer
 	switch {
-	case g.accord != nil:
-		observe = func(r core.Record) { g.back.Observe(r); g.accord.Observe(r) }
+	case g.agreement != nil:
+		observe = func(r core.Record) { g.recovery.Observe(r); g.agreement.Observe(r) }
 	case g.fresh:
-		observe = g.back.Observe
+		observe = g.recovery.Observe
 	}
-	if c.Side.Export.Enabled {
-		g.flows = ipfix.New(loop, net, c.Side.exportOptions(c.Site), log.Named("ipfix"))
+	if c.Extensions.Export.Enabled {
+		g.flows = ipfix.New(loop, net, c.Extensions.exportOptions(c.Site), log.Named("ipfix"))
 		if observe == nil {
 			observe = g.flows.Observe
 		} else {
@@ -37,8 +37,8 @@
 	var workers core.Workers = g.pool
 	tell := func(whole bool, members []core.Member) { g.core.List(whole, members) }
 	told := tell
-	if c.Side.Enabled && c.Side.Workers.Broker != "" {
-		opt, replies, list, err := c.Side.workerOptions(c.Name, c.Site)
+	if c.Extensions.Enabled && c.Extensions.Workers.Broker != "" {
+		opt, replies, list, err := c.Extensions.workerOptions(c.Name, c.Site)
 		if err != nil {
 			return err
 		}
@@ -46,15 +46,15 @@
 		f := &bothKinds{Pool: g.pool, mqtt: g.link}
 		workers, told = f, f.bulletin(tell)
 	}
-	if g.accord != nil {
-		workers = &kept{workers, g}
+	if g.agreement != nil {
+		workers = &confined{workers, g}
 	}
 	if g.core, err = core.New(loop, c.Site.Decide, c.Seed, workers, observe, log.Named("core")); err != nil {
 		return err
 	}
 	g.core.Restore(state.Roster)
-	if g.accord != nil {
-		g.accord.Adopt(state.Agreed)
+	if g.agreement != nil {
+		g.agreement.Adopt(state.Agreed)
 	}
 	if state.Module != nil {
 		if err := g.core.Recall(state.Module); err != nil {
@@ -66,29 +66,29 @@
 		g.link.Serve(g.core)
 	}
 	g.taker = g.core
-	if g.fresh || g.accord != nil {
+	if g.fresh || g.agreement != nil {
 		g.taker = &gate{g.core, g}
 	}
 	if Before != nil {
 		g.taker = Before(g.taker)
 	}
-	if c.Side.Enabled && c.Side.Calls.Broker != "" {
-		opt, keep := c.Side.callOptions(c.Name)
+	if c.Extensions.Enabled && c.Extensions.Calls.Broker != "" {
+		opt, keep := c.Extensions.callOptions(c.Name)
 		g.calls = mqtt.NewFront(loop, net, g.taker, c.Site, opt, keep, c.Seed, observe, log.Named("mqtt.calls"))
 	}
 	if g.node != nil {
 		inner := told
 		told = func(whole bool, members []core.Member) {
 			inner(whole, members)
-			g.back.Told(whole, members)
-			if g.accord != nil {
-				g.accord.Told(whole, members)
+			g.recovery.Told(whole, members)
+			if g.agreement != nil {
+				g.agreement.Told(whole, members)
 			}
 		}
 	}
 	g.feed = bulletin.NewFeed(loop, net, c.Bulletin, c.Site, c.Last, told, log.Named("bulletin"))
 	if g.node != nil {
-		g.feed.Heard = g.back.Current
+		g.feed.Heard = g.recovery.Current
 	}
 	g.known, g.told = c.Known, told
 	return nil
@@ -108,13 +108,13 @@
 
 // open takes clients.
 func (g *Gateway) open() {
-	if g.up == nil || g.up.from == nil {
+	if g.upgrade == nil || g.upgrade.from == nil {
 		g.connectBrokers()
 	}
 	g.front.Serve(g.taker)
 	g.log.Info("ready", zap.String("listen", g.net.Addr()), zap.Uint64("event", g.feed.Last()))
-	if g.up != nil {
-		g.up.begin()
+	if g.upgrade != nil {
+		g.upgrade.begin()
 	}
 }
 
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -20,21 +20,21 @@
 
 // Config is all that a gateway is told.
 type Config struct {
-	Name     string
-	Listen   string
-	Operator string // where operators call, empty if nowhere
-	StateDir string // where a new process finds what the old one hands on, empty if nowhere
-	Seed     uint64
-	Cores    float64
-	MemoryMB int
-	Sockets  int
-	Bulletin string
-	Last     uint64
-	Known    []bulletin.Event
-	Site     *settings.Site
-	Side     *Side
-	Fleet    *fleet.Settings // nil or not enabled: this gateway knows of no other
-	ID       string          // its revision, or what is left of its text
+	Name       string
+	Listen     string
+	Operator   string // where operators call, empty if nowhere
+	StateDir   string // where a new process finds what the old one hands on, empty if nowhere
+	Seed       uint64
+	Cores      float64
+	MemoryMB   int
+	Sockets    int
+	Bulletin   string
+	Last       uint64
+	Known      []bulletin.Event
+	Site       *settings.Site
+	Extensions *Extensions
+	Fleet      *fleet.Settings // nil or not enabled: this gateway knows of no other
+	ID         string          // its revision, or what is left of its text
 }
 
 // clients is the number of clients' connections that are held: the third that the platform allows them, and a
@@ -72,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.Side, err = ReadSide(side); err != nil {
+	if c.Extensions, err = ReadExtensions(side); err != nil {
 		return nil, err
 	}
 	if c.Fleet, err = fleet.Read(peers); err != nil {
--- a/internal/lifecycle/drain_test.go
+++ b/internal/lifecycle/drain_test.go
@@ -54,7 +54,7 @@
 // is the test's, so that the drain takes no time.
 func TestGatewayServesAndDrains(t *testing.T) {
 	for _, side := range []string{"", mqttOn} { // with MQTT and export on, and nobody there to speak to
-		s, err := ParseSide(side)
+		s, err := ParseExtensions(side)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -87,7 +87,7 @@
 queue = 10
 `
 
-func servesAndDrains(t *testing.T, side *Side, drained bool) {
+func servesAndDrains(t *testing.T, side *Extensions, drained bool) {
 	hold := make(chan struct{})
 	workers, err := sock.Listen("127.0.0.1:0", sock.Limits{Descriptors: 64, Accepted: 64}, func(c sock.Conn) sock.Handler { return &worker{c, hold} }, zap.NewNop())
 	if err != nil {
@@ -98,7 +98,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Side = side
+	c.Extensions = side
 	var mu sync.Mutex
 	now := 1000 * time.Hour
 	g, err := Start(c, func() time.Duration { mu.Lock(); defer mu.Unlock(); return now }, zap.NewNop())
--- a/internal/lifecycle/end.go
+++ b/internal/lifecycle/end.go
@@ -20,27 +20,27 @@
 // connections come any more each answer ends its connection, since clients go on sending on those that stay open. Later
 // connections are closed as they fall idle, and the process ends with the last answer.
 func (g *Gateway) drain() {
-	if g.term {
+	if g.terminating {
 		return
 	}
-	if g.up != nil && g.up.to != nil && !g.up.toReady && !g.patient { // its word may be on the way, behind this signal
+	if g.upgrade != nil && g.upgrade.to != nil && !g.upgrade.toReady && !g.patient { // its word may be on the way, behind this signal
 		g.patient = true
 		g.loop.After(successorWait, g.drain)
 		return
 	}
-	g.term = true
+	g.terminating = true
 	if g.core == nil { // it has not come so far as to serve anybody
 		g.log.Info("ending before the first call")
 		g.stop()
 		return
 	}
-	if g.accord != nil {
-		g.accord.Ending()
+	if g.agreement != nil {
+		g.agreement.Ending()
 	}
 	if g.node != nil {
 		g.node.Drain()
 	}
-	handed := g.up != nil && g.up.toReady
+	handed := g.upgrade != nil && g.upgrade.toReady
 	g.log.Info("draining", zap.Int("open", g.core.Open()), zap.Int("clients", g.front.Conns()), zap.Bool("handed", handed))
 	if handed { // what waits to be accepted and all that comes is the new process's
 		g.net.StopAccepting()
@@ -102,11 +102,11 @@
 	if g.flows != nil {
 		g.flows.Stop()
 	}
-	if g.up != nil {
-		g.up.end()
+	if g.upgrade != nil {
+		g.upgrade.end()
 	}
-	if g.accord != nil {
-		g.accord.Stop()
+	if g.agreement != nil {
+		g.agreement.Stop()
 	}
 	if g.node != nil { // a new process takes this one's place in the fleet, and its file, once the link to it ends
 		g.node.Stop(g.stopped)
@@ -117,8 +117,8 @@
 
 // stopped ends the process.
 func (g *Gateway) stopped() {
-	if g.up != nil {
-		g.up.part()
+	if g.upgrade != nil {
+		g.upgrade.part()
 	}
 	g.done()
 }
--- a/internal/lifecycle/side.go
+++ b/internal/lifecycle/extensions.go
@@ -17,9 +17,9 @@
 	"quillrail/internal/wire/workerlink"
 )
 
-// Side is the part of the configuration that is ours: the MQTT front and the export of flows, from
+// Extensions is the part of the configuration that is ours: the MQTT front and the export of flows, from
 // deploy/mqtt.toml. Both are off unless it says otherwise.
-type Side struct {
+type Extensions struct {
 	Enabled bool `toml:"enabled"`
 	Calls   struct {
 		Broker        string   `toml:"broker"`
@@ -51,25 +51,25 @@
 	} `toml:"export"`
 }
 
-// ReadSide reads the file; one that does not exist turns everything off.
-func ReadSide(path string) (*Side, error) {
+// ReadExtensions reads the file; one that does not exist turns everything off.
+func ReadExtensions(path string) (*Extensions, error) {
 	text, err := os.ReadFile(path)
 	if os.IsNotExist(err) {
-		return &Side{}, nil
+		return &Extensions{}, nil
 	}
 	if err != nil {
 		return nil, err
 	}
-	s, err := ParseSide(string(text))
+	s, err := ParseExtensions(string(text))
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return s, nil
 }
 
-// ParseSide reads the file's text and checks what is enabled.
-func ParseSide(text string) (*Side, error) {
-	s := &Side{}
+// ParseExtensions reads the file's text and checks what is enabled.
+func ParseExtensions(text string) (*Extensions, error) {
+	s := &Extensions{}
 	meta, err := toml.Decode(text, s)
 	if err != nil {
 		return nil, err
@@ -93,7 +93,7 @@
 	return s, nil
 }
 
-func (s *Side) checkMQTT() error {
+func (s *Extensions) checkMQTT() error {
 	if c := &s.Calls; c.Broker != "" {
 		if err := loopback(c.Broker); err != nil {
 			return fmt.Errorf("calls: broker: %w", err)
@@ -135,7 +135,7 @@
 	return nil
 }
 
-func (s *Side) callOptions(node string) (mqtt.Options, time.Duration) {
+func (s *Extensions) callOptions(node string) (mqtt.Options, time.Duration) {
 	c := &s.Calls
 	o := mqtt.Options{Broker: c.Broker, ClientID: c.ClientID + "-" + node, Subscribe: c.Listen,
 		Expiry: time.Duration(c.SessionExpiry) * time.Second, KeepAlive: time.Duration(c.KeepAlive) * time.Second}
@@ -143,7 +143,7 @@
 	return o, o.Expiry + 2*time.Minute
 }
 
-func (s *Side) workerOptions(node string, site *settings.Site) (mqtt.Options, string, []mqtt.Worker, error) {
+func (s *Extensions) workerOptions(node string, site *settings.Site) (mqtt.Options, string, []mqtt.Worker, error) {
 	w := &s.Workers
 	var list []mqtt.Worker
 	for _, x := range w.Worker {
@@ -158,7 +158,7 @@
 		KeepAlive: time.Duration(w.KeepAlive) * time.Second}, w.Replies + "/" + node, list, nil
 }
 
-func (s *Side) exportOptions(site *settings.Site) ipfix.Options {
+func (s *Extensions) exportOptions(site *settings.Site) ipfix.Options {
 	e := &s.Export
 	return ipfix.Options{Collector: e.Collector, Domain: e.Domain, Enterprise: e.Enterprise, Queue: e.Queue,
 		Tenants: site.Tenants}
--- a/internal/lifecycle/fleet.go
+++ b/internal/lifecycle/fleet.go
@@ -35,15 +35,15 @@
 	lim := recover.Limits{Classes: len(d.Classes), Tenants: len(d.Tenants)}
 	g.node = fleet.New(g.loop, &s, c.Name, d.Zone, g.log.Named("fleet"))
 	g.node.Add(func(h *fleet.Host) fleet.Part {
-		g.back = fleet.NewComeback(h, (*peers)(g), &s, lim, worth, left)
-		return g.back
+		g.recovery = fleet.NewRecovery(h, (*peers)(g), &s, lim, worth, left)
+		return g.recovery
 	})
 	g.agreeing(c)
 }
 
 // join takes the gateway's place in the fleet; serves says that this process has taken over from one that served.
 func (g *Gateway) join(serves bool) {
-	g.back.Start(serves)
+	g.recovery.Start(serves)
 	g.node.Start()
 }
 
@@ -108,8 +108,8 @@
 }
 
 func (p *peers) keep() {
-	if p.up != nil && p.up.saver != nil {
-		p.up.save()
+	if p.upgrade != nil && p.upgrade.saver != nil {
+		p.upgrade.save()
 	}
 }
 
@@ -129,8 +129,8 @@
 // Count notes a call that was answered before the core had it: those that compare versions count it as well.
 func (t *gate) Count(class int, answer string) {
 	t.Core.Count(class, answer)
-	if t.g.accord != nil {
-		t.g.accord.Count(class, answer)
+	if t.g.agreement != nil {
+		t.g.agreement.Count(class, answer)
 	}
 }
 
@@ -138,9 +138,9 @@
 func (t *gate) Take(call core.Call) core.Ref {
 	ok, pause, why := true, time.Duration(0), ""
 	if t.g.fresh {
-		ok, pause = t.g.back.Admit(call.Class, call.Function)
+		ok, pause = t.g.recovery.Admit(call.Class, call.Function)
 	}
-	if ok && t.g.accord != nil {
+	if ok && t.g.agreement != nil {
 		pause, why = t.g.place(&call)
 	}
 	if !ok || why != "" {
@@ -156,7 +156,7 @@
 	if g.node == nil {
 		return errNotReady
 	}
-	phase, without := g.back.Course()
+	phase, without := g.recovery.Course()
 	if len(without) > 0 {
 		phase += ", without " + strings.Join(without, ", ")
 	}
--- a/internal/lifecycle/handover/handover_test.go
+++ b/internal/lifecycle/handover/handover_test.go
@@ -141,7 +141,7 @@
 		t.Fatal(err)
 	}
 	old, next := newSide(ln), newSide(nil)
-	door, err := Open(dir, me, old)
+	door, err := Listen(dir, me, old)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -184,7 +184,7 @@
 	down.CallBack("b")
 	want(t, next, "ban b", "call back b")
 
-	second, err := Open(dir, me, next) // the new process takes the place
+	second, err := Listen(dir, me, next) // the new process takes the place
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -214,7 +214,7 @@
 	}
 	defer ln.Close()
 	old := newSide(ln)
-	door, err := Open(dir, me, old)
+	door, err := Listen(dir, me, old)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lifecycle/handover/door.go
+++ b/internal/lifecycle/handover/server.go
@@ -10,15 +10,15 @@
 	"time"
 )
 
-// Door is where the next process asks.
-type Door struct {
+// Server is where the next process asks.
+type Server struct {
 	ln  *net.UnixListener
 	who Who
 	ev  Events
 }
 
-// Open takes the place in dir where the next process will ask, from whoever has it now.
-func Open(dir string, who Who, ev Events) (*Door, error) {
+// Listen takes the place in dir where the next process will ask, from whoever has it now.
+func Listen(dir string, who Who, ev Events) (*Server, error) {
 	path, d, err := short(dir)
 	if err != nil {
 		return nil, err
@@ -35,15 +35,15 @@
 		ln.Close()
 		return nil, err
 	}
-	door := &Door{ln: ln, who: who, ev: ev}
+	door := &Server{ln: ln, who: who, ev: ev}
 	go door.accept()
 	return door, nil
 }
 
 // Close stops listening. A link that is up stays.
-func (d *Door) Close() { d.ln.Close() }
+func (d *Server) Close() { d.ln.Close() }
 
-func (d *Door) accept() {
+func (d *Server) accept() {
 	for {
 		conn, err := d.ln.AcceptUnix()
 		if err != nil {
@@ -57,7 +57,7 @@
 	}
 }
 
-func (d *Door) serve(conn *net.UnixConn) {
+func (d *Server) serve(conn *net.UnixConn) {
 	p := newPeer(conn)
 	conn.SetDeadline(time.Now().Add(helloLimit))
 	if err := d.offer(conn); err != nil {
@@ -72,7 +72,7 @@
 	go p.run(d.ev)
 }
 
-func (d *Door) offer(conn *net.UnixConn) error {
+func (d *Server) offer(conn *net.UnixConn) error {
 	m, err := read(conn)
 	switch {
 	case err != nil:
--- a/internal/lifecycle/isolation_test.go
+++ b/internal/lifecycle/isolation_test.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Side = &Side{}
+	c.Extensions = &Extensions{}
 	g, err := Start(c, core.WallClock, log)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lifecycle/operator.go
+++ b/internal/lifecycle/operator.go
@@ -37,7 +37,7 @@
 		if !g.asks() || c.Emergency {
 			err := d.Disable(c.ID)
 			if err == nil && c.Emergency {
-				g.accord.Urgent(change.Of(change.Worker, c.ID), "", by(c), c.Options["why"])
+				g.agreement.Urgent(change.Of(change.Worker, c.ID), "", by(c), c.Options["why"])
 			}
 			done("", err)
 			return
@@ -49,7 +49,7 @@
 		if !g.asks() || c.Emergency {
 			err := d.Drain()
 			if c.Emergency {
-				g.accord.Urgent(g.self(), g.conf.Name, by(c), c.Options["why"])
+				g.agreement.Urgent(g.self(), g.conf.Name, by(c), c.Options["why"])
 			}
 			done("", err)
 			return
@@ -58,7 +58,7 @@
 	case "resume":
 		err := d.Resume()
 		if err == nil && g.asks() {
-			g.accord.Back()
+			g.agreement.Back()
 		}
 		done("", err)
 	default:
@@ -85,7 +85,7 @@
 		done("", err)
 		return
 	}
-	g.accord.Ask(t, holder, by(c), c.Options["why"], except, false, done)
+	g.agreement.Ask(t, holder, by(c), c.Options["why"], except, false, done)
 }
 
 func exception(c opfront.Call) (id uint64, err error) {
@@ -101,8 +101,8 @@
 func (d *desk) enable(c opfront.Call, done func(string, error)) {
 	g := (*Gateway)(d)
 	if g.asks() {
-		if p := g.accord.PermitOf(change.Of(change.Worker, c.ID)); p != nil {
-			g.accord.Return(p, by(c), done)
+		if p := g.agreement.PermitOf(change.Of(change.Worker, c.ID)); p != nil {
+			g.agreement.Return(p, by(c), done)
 			return
 		}
 	}
@@ -117,11 +117,11 @@
 	}
 	switch c.Name {
 	case "agreed":
-		done(g.accord.Show()+"EOT\n", nil)
+		done(g.agreement.Show()+"EOT\n", nil)
 	case "wanted":
 		done(g.wanted(c.ID)+"EOT\n", nil)
 	case "declare":
-		g.accord.Declare(c.ID, c.Options, done)
+		g.agreement.Declare(c.ID, c.Options, done)
 	}
 }
 
@@ -132,12 +132,12 @@
 	}
 	if gateway == "workers" {
 		text := ""
-		for _, id := range g.accord.Restarts() {
+		for _, id := range g.agreement.Restarts() {
 			text += "worker " + id + "\n"
 		}
 		return text
 	}
-	if what, to, permit := g.accord.Wanted(gateway); what != "" {
+	if what, to, permit := g.agreement.Wanted(gateway); what != "" {
 		return fmt.Sprintf("%s %s permit %d\n", what, to, permit)
 	}
 	return ""
@@ -146,7 +146,7 @@
 // Ready says whether clients are told to come.
 func (d *desk) Ready() error {
 	switch {
-	case d.term:
+	case d.terminating:
 		return errEnding
 	case !d.front.Ready():
 		return (*Gateway)(d).phase()
@@ -192,12 +192,12 @@
 		return (*Gateway)(d).phase()
 	}
 	err := do(d.core, id)
-	if err == nil && d.up != nil {
-		d.up.changed(id)
+	if err == nil && d.upgrade != nil {
+		d.upgrade.changed(id)
 	}
 	if err == nil && d.node != nil {
 		ban, banned := d.core.Banned(id)
-		d.back.Said(id, banned, ban.Since)
+		d.recovery.Said(id, banned, ban.Since)
 	}
 	return err
 }
@@ -219,7 +219,7 @@
 
 // Resume takes clients again. A process that is ending doesn't.
 func (d *desk) Resume() error {
-	if d.term {
+	if d.terminating {
 		return errEnding
 	}
 	(*Gateway)(d).takeAgain()
--- a/internal/lifecycle/operator_test.go
+++ b/internal/lifecycle/operator_test.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Side = &Side{}
+	c.Extensions = &Extensions{}
 	g, err := Start(c, core.WallClock, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
@@ -50,8 +50,8 @@
 		g.loop.Post(func() {})
 		<-ended
 		g.net.Stop()
-		if g.door != nil {
-			g.door.Stop()
+		if g.admin != nil {
+			g.admin.Stop()
 		}
 	})
 }
@@ -59,7 +59,7 @@
 // ask makes one operator's call on a real socket.
 func ask(t *testing.T, g *Gateway, call string) string {
 	t.Helper()
-	conn, err := net.Dial("tcp", g.door.Addr())
+	conn, err := net.Dial("tcp", g.admin.Addr())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -121,7 +121,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c.Side, err = ParseSide(mqttOn); err != nil {
+	if c.Extensions, err = ParseExtensions(mqttOn); err != nil {
 		t.Fatal(err)
 	}
 	g, err := Start(c, core.WallClock, zap.NewNop())
@@ -140,11 +140,11 @@
 	}
 	conn.Close()
 	g.done = func() {}
-	g.up = &upgrade{g: g, to: &handover.Peer{}}
-	if g.drain(); g.term { // the successor's word is on the way: as if there were none, connections would be lost
+	g.upgrade = &upgrade{g: g, to: &handover.Peer{}}
+	if g.drain(); g.terminating { // the successor's word is on the way: as if there were none, connections would be lost
 		t.Error("SIGTERM did not wait for the successor's word")
 	}
-	g.up.toReady = true
+	g.upgrade.toReady = true
 	g.drain()
 	if g.calls.Ready() || !g.front.Ready() {
 		t.Errorf("takes calls over MQTT %v, says yes over HTTP %v", g.calls.Ready(), g.front.Ready())
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -14,7 +14,7 @@
 
 	"quillrail/internal/core"
 	"quillrail/internal/fleet"
-	"quillrail/internal/fleet/accord"
+	"quillrail/internal/fleet/agreement"
 	"quillrail/internal/lifecycle/handover"
 	"quillrail/internal/wire/bulletin"
 	"quillrail/internal/wire/httpfront"
@@ -40,29 +40,29 @@
 
 // Gateway is a running gateway.
 type Gateway struct {
-	loop    *core.Loop
-	core    *core.Core
-	taker   httpfront.Taker // the core, or what stands before it
-	net     *sock.Net
-	front   *httpfront.Front
-	pool    *workerlink.Pool
-	calls   *mqtt.Front     // nil where MQTT is off
-	link    *mqtt.Link      // likewise
-	flows   *ipfix.Exporter // nil where the export is off
-	log     *zap.Logger
-	feed    *bulletin.Feed
-	conf    *Config
-	node    *fleet.Node     // nil where the gateway is of no fleet
-	back    *fleet.Comeback // the node's part that brings the gateway back
-	accord  *accord.Accord  // the node's part that keeps what is agreed, nil where nothing is
-	pending *Config         // that came in a freeze,
-	drops   bool            // and is dropped afterwards
-	kept    uint64          // configurations that came in freezes
-	fresh   bool            // the node brings the gateway up
-	door    *sock.Net       // nil where operators have none
-	up      *upgrade        // nil where no new process can take over
-	term    bool
-	patient bool // SIGTERM has come, and a successor that has not said that it is ready is waited for
+	loop        *core.Loop
+	core        *core.Core
+	taker       httpfront.Taker // the core, or what stands before it
+	net         *sock.Net
+	front       *httpfront.Front
+	pool        *workerlink.Pool
+	calls       *mqtt.Front     // nil where MQTT is off
+	link        *mqtt.Link      // likewise
+	flows       *ipfix.Exporter // nil where the export is off
+	log         *zap.Logger
+	feed        *bulletin.Feed
+	conf        *Config
+	node        *fleet.Node      // nil where the gateway is of no fleet
+	recovery    *fleet.Recovery  // the node's part that brings the gateway back
+	agreement   *agreement.Agent // the node's part that keeps what is agreed, nil where nothing is
+	pending     *Config          // that came in a freeze,
+	drops       bool             // and is dropped afterwards
+	kept        uint64           // configurations that came in freezes
+	fresh       bool             // the node brings the gateway up
+	admin       *sock.Net        // nil where operators have none
+	upgrade     *upgrade         // nil where no new process can take over
+	terminating bool
+	patient     bool // SIGTERM has come, and a successor that has not said that it is ready is waited for
 
 	known []bulletin.Event // the list to begin with, until it is told
 	told  func(whole bool, members []core.Member)
@@ -122,14 +122,14 @@
 	}
 	if c.Operator != "" {
 		door := opfront.New(loop, (*desk)(g), log.Named("operator"))
-		if g.door, err = sock.Listen(c.Operator, sock.Limits{Descriptors: c.Sockets, Accepted: opfront.Sockets}, door.Accept, log); err != nil {
+		if g.admin, err = sock.Listen(c.Operator, sock.Limits{Descriptors: c.Sockets, Accepted: opfront.Sockets}, door.Accept, log); err != nil {
 			g.net.Stop()
 			return nil, err
 		}
-		log.Info("operators are heard", zap.String("at", g.door.Addr()))
+		log.Info("operators are heard", zap.String("at", g.admin.Addr()))
 	}
 	g.comeBack(c, state.Roster.Bans)
-	if g.fresh = g.node != nil && (g.up == nil || g.up.from == nil); g.fresh {
+	if g.fresh = g.node != nil && (g.upgrade == nil || g.upgrade.from == nil); g.fresh {
 		loop.Post(func() { g.join(false) })
 		return g, nil
 	}
@@ -163,8 +163,8 @@
 // take goes by a configuration.
 func (g *Gateway) take(c *Config) {
 	g.applied++
-	if g.pending = nil; g.accord != nil {
-		g.accord.Configured(c.ID)
+	if g.pending = nil; g.agreement != nil {
+		g.agreement.Configured(c.ID)
 	}
 	if o := g.conf; c.Listen != o.Listen || c.MemoryMB != o.MemoryMB || c.Sockets != o.Sockets || c.Cores != o.Cores ||
 		!reflect.DeepEqual(c.Site, o.Site) {
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -22,7 +22,7 @@
 	dir     string
 	who     handover.Who
 	saver   *handover.Saver
-	door    *handover.Door // where a successor asks
+	door    *handover.Server // where a successor asks
 	opening bool
 	from    *handover.Peer // the predecessor, while it lives
 	to      *handover.Peer // the successor
@@ -34,7 +34,7 @@
 // inherit looks for a process of this gateway that serves now, or for what one has left.
 func (g *Gateway) inherit(c *Config) (net.Listener, handover.State) {
 	u := &upgrade{g: g, dir: c.StateDir, who: handover.Who{Name: c.Name, Listen: c.Listen}}
-	g.up = u
+	g.upgrade = u
 	peer, ln, state, err := handover.Take(u.dir, u.who)
 	if err == nil {
 		u.from = peer
@@ -68,12 +68,12 @@
 
 // open takes the place where the next process asks, off the turn.
 func (u *upgrade) open() {
-	if u.opening || u.g.term {
+	if u.opening || u.g.terminating {
 		return
 	}
 	u.opening = true
 	go func() {
-		door, err := handover.Open(u.dir, u.who, u)
+		door, err := handover.Listen(u.dir, u.who, u)
 		u.g.loop.Post(func() {
 			u.opening = false
 			if err != nil {
@@ -132,15 +132,15 @@
 	got := make(chan offer, 1)
 	go u.g.loop.PostFirst(func() {
 		switch {
-		case u.g.term:
+		case u.g.terminating:
 			got <- offer{err: errEnding}
 		case u.to != nil:
 			got <- offer{err: errors.New("a new process has taken over already")}
 		default:
 			u.offered = u.g.core.Saved()
 			s := handover.State{Roster: u.offered, Module: u.g.core.Remember()}
-			if u.g.accord != nil {
-				s.Agreed = u.g.accord.Handed()
+			if u.g.agreement != nil {
+				s.Agreed = u.g.agreement.Handed()
 			}
 			got <- offer{state: s}
 		}
@@ -187,15 +187,15 @@
 		case u.from:
 			u.from = nil
 			u.g.log.Info("the old process has ended")
-			if u.g.node != nil && !u.g.term {
+			if u.g.node != nil && !u.g.terminating {
 				u.g.join(true)
 			}
 			u.g.connectBrokers()
 		case u.to:
 			u.to, u.toReady = nil, false
 			u.g.log.Warn("the new process has gone")
-			if u.g.accord != nil {
-				u.g.accord.Failed("the new process has gone")
+			if u.g.agreement != nil {
+				u.g.agreement.Failed("the new process has gone")
 			}
 			u.open() // it may have taken the place
 		default:
--- a/tools/rollout/main.go
+++ b/tools/rollout/main.go
@@ -14,26 +14,26 @@
 	"gonum.org/v1/plot/vg"
 
 	"quillrail/internal/fleet/change"
-	"quillrail/internal/fleet/change/rehearse"
+	"quillrail/internal/fleet/change/simulation"
 )
 
-func options(gateways int, seed uint64) rehearse.Options {
+func options(gateways int, seed uint64) simulation.Options {
 	l := change.Defaults
 	l.Gateways, l.GatewaysHall = change.Limit{Part: 0.1}, change.Limit{Part: 0.2}
-	return rehearse.Options{Seed: seed, Gateways: gateways, Halls: 3, PerSecond: 20, Way: rehearse.Ours, Limits: l, Length: 3_600_000, Uneven: true,
+	return simulation.Options{Seed: seed, Gateways: gateways, Halls: 3, PerSecond: 20, Way: simulation.Ours, Limits: l, Length: 3_600_000, Uneven: true,
 		Release: change.Release{Name: "r", By: "anna", What: change.Version, To: "v2", ProveMs: 30_000, MostMs: 120_000, StepMs: 20_000, TakeBack: true}}
 }
 
 // ways compares the ways of going over a fleet of 24, by seeds 1 to n.
 func ways(n uint64) {
 	fmt.Printf("24 gateways, seeds 1 to %d, means\n%-14s %-8s %10s %12s %10s %8s\n", n, "way", "fault", "lost calls", "part of all", "reached", "minutes")
-	for _, way := range []rehearse.Way{rehearse.AllAtOnce, rehearse.ByTime, rehearse.Ours} {
-		for _, fault := range []rehearse.Fault{rehearse.None, rehearse.Crash, rehearse.Fails, rehearse.Slow, rehearse.Tenth} {
+	for _, way := range []simulation.Way{simulation.AllAtOnce, simulation.ByTime, simulation.Ours} {
+		for _, fault := range []simulation.Fault{simulation.None, simulation.Crash, simulation.Fails, simulation.Slow, simulation.Tenth} {
 			var lost, part, reached, minutes float64
 			for seed := range n {
 				o := options(24, seed+1)
 				o.Way, o.Fault = way, fault
-				r := rehearse.Play(o)
+				r := simulation.Play(o)
 				lost, part, reached, minutes = lost+r.LostCalls, part+r.Lost, reached+r.Reached, minutes+float64(r.Length)/60_000
 			}
 			k := float64(n)
@@ -52,10 +52,10 @@
 	fmt.Printf("\ngateways  whole min  halted s  reached  out most  entries  kB/s a gateway  messages/s a gateway  kB/s at the leader\n")
 	for _, n := range []int{6, 12, 24, 50, 100, 200, 300} {
 		o := options(n, 1)
-		r := rehearse.Play(o)
-		o.Fault = rehearse.Fails
-		bad := rehearse.Play(o)
-		s := float64(r.Length)/1000 + rehearse.WarmUp.Seconds()
+		r := simulation.Play(o)
+		o.Fault = simulation.Fails
+		bad := simulation.Play(o)
+		s := float64(r.Length)/1000 + simulation.WarmUp.Seconds()
 		kb, msgs := r.Bytes/1000/s, r.Messages/s
 		fmt.Printf("%8d  %9.1f  %8.1f  %7.2f  %8d  %7d  %14.2f  %20.1f  %18.0f\n", n, float64(r.Took)/60_000, float64(bad.Took)/1000, bad.Reached, r.MostOut, r.Entries,
 			kb, msgs, kb*float64(n)/2)
