Show that calls which must never run twice do not through upgrades and a kill

Need: never twice at an upgrade was tested for safe calls only.

Change: TestNeverTwiceThroughUpgrades, real processes: six clients, two workers that run one call of seven and reset its connection, two planned upgrades and one kill of the old process.

With the rule on repeats taken out of decide (mayRepeat) the test fails.

--- a/internal/app/stage_test.go
+++ b/internal/app/stage_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -24,6 +25,8 @@
 	dir    string
 	listen string
 	served [2]atomic.Int64 // calls by worker
+	ran    sync.Map        // how often calls ran, by id
+	resets int64           // one call of so many is run and its connection reset, 0 for none
 }
 
 const workersConfig = `{"name":"n","listen":%q,"seed":"01","limits":{"cores":1,"memory_mb":64,"sockets":256},"bulletin":%q,
@@ -31,7 +34,7 @@
  {"id":"s-00000000","host_port":%q,"locality":"x","flavor":"std","cell":0,"phase":"active","size":1,"up_since_ms":0},
  {"id":"s-00000001","host_port":%q,"locality":"x","flavor":"std","cell":0,"phase":"active","size":1,"up_since_ms":0}]}}]},
  "settings":{"azs":["x"],"kinds":["std"],"balancers":1,"classes":[{"deadline-s":4,"effect":"idempotent","key-scope":"all",
- "name":"read","promise-s":4}],"contract":{"drain-grace-s":2,"cold-from":0.2,"cold-s":10,"fall-multiple":2.5,"fall-s":3},
+ "name":"read","promise-s":4},{"deadline-s":4,"effect":"at_most_once","name":"once","promise-s":4}],"contract":{"drain-grace-s":2,"cold-from":0.2,"cold-s":10,"fall-multiple":2.5,"fall-s":3},
  "customers":[{"name":"a","share":1}],"family-info":{"keep-s":10,"marks-cold":true,"not-loaded":"load"},
  "membership-mode":"automatic","policy-limits":{"cancelling":true,"conn-idle-s":30,"connect-timeout-s":1,
  "max-retry-after-s":2,"parallel-tries":true,"retry-after":true,"streams-per-conn":32,"try-limit":5}}}`
@@ -75,7 +78,12 @@
 			if _, err := io.ReadFull(r, body); err != nil {
 				return
 			}
-			s.served[i].Add(1)
+			count, _ := s.ran.LoadOrStore(words[1], new(atomic.Int64))
+			count.(*atomic.Int64).Add(1)
+			if n := s.served[i].Add(1); s.resets > 0 && n%s.resets == 0 {
+				c.(*net.TCPConn).SetLinger(0)
+				return
+			}
 			fmt.Fprintf(c, "%s OK detail=warm %d\r\n%s", words[1], n, body)
 		}
 	}
