--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -9,10 +9,10 @@
 	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
 	"golang.org/x/sys/unix"
 
 	"quillrail/internal/fleet/change"
+	"quillrail/internal/settings"
 )
 
 // Settings are the file's. ColdFrom and ColdFor are the site's, put in by the gateway.
@@ -70,31 +70,16 @@
 
 // Read reads the file; one that does not exist turns the fleet off.
 func Read(path string) (*Settings, error) {
-	text, err := os.ReadFile(path)
-	if os.IsNotExist(err) {
-		return &Settings{}, nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	s, err := Parse(string(text))
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	return s, nil
+	return settings.ReadFile(path, Parse)
 }
 
 // Parse reads the file's text and checks it if it is enabled.
 func Parse(text string) (*Settings, error) {
 	s := &Settings{Loads: 16, BootID: "/proc/sys/kernel/random/boot_id", Agree: Agree{Replace: 60}, Change: change.Defaults,
 		Freeze: Freeze{ClockBoundMs: 500, AheadS: 60}, Site: Site{Session: "key", Lost: 5}}
-	meta, err := toml.Decode(text, s)
-	if err != nil {
+	if err := settings.DecodeTOML(text, s); err != nil {
 		return nil, err
 	}
-	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return nil, fmt.Errorf("unknown key %s", unknown[0])
-	}
 	if !s.Enabled {
 		return s, nil
 	}
--- a/internal/lifecycle/extensions.go
+++ b/internal/lifecycle/extensions.go
@@ -3,13 +3,10 @@
 import (
 	"fmt"
 	"net"
-	"os"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
 	"quillrail/internal/core"
 	"quillrail/internal/settings"
 	"quillrail/internal/wire/ipfix"
@@ -53,30 +50,15 @@
 
 // ReadExtensions reads the file; one that does not exist turns everything off.
 func ReadExtensions(path string) (*Extensions, error) {
-	text, err := os.ReadFile(path)
-	if os.IsNotExist(err) {
-		return &Extensions{}, nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	s, err := ParseExtensions(string(text))
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	return s, nil
+	return settings.ReadFile(path, ParseExtensions)
 }
 
 // ParseExtensions reads the file's text and checks what is enabled.
 func ParseExtensions(text string) (*Extensions, error) {
 	s := &Extensions{}
-	meta, err := toml.Decode(text, s)
-	if err != nil {
+	if err := settings.DecodeTOML(text, s); err != nil {
 		return nil, err
 	}
-	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return nil, fmt.Errorf("unknown key %s", unknown[0])
-	}
 	if s.Enabled {
 		if err := s.checkMQTT(); err != nil {
 			return nil, err
