--- a/decide/memory.go
+++ b/decide/memory.go
@@ -106,10 +106,10 @@
 // Rate is how many calls a second were served of late.
 func (m *Memory) Rate(now time.Duration) float64 { return fade(m.GoodRate, now-m.GoodAt, lately) }
 
-// Vouch has the rate of calls served count as at least perSec from now on: what a gateway that comes back is known to have
+// AssumeRate has the rate of calls served count as at least perSec from now on: what a gateway that comes back is known to have
 // served, by which it judges what cold workers bear. It fades like any rate. At most so many loads of its own are under way
 // until it is told otherwise, 0 for any number.
-func (r *Router) Vouch(now time.Duration, perSec float64, loads int) {
+func (r *Router) AssumeRate(now time.Duration, perSec float64, loads int) {
 	r.now, r.most = max(r.now, now), loads
 	if perSec > r.rate() {
 		r.goodRate, r.goodAt = perSec, r.now
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -84,9 +84,11 @@
 	c.change(c.roster.Adopt(b))
 }
 
-// Vouch has the module judge cold workers by a rate that was served before, in calls a second, and have at most so many loads
+// AssumeRate has the module judge cold workers by a rate that was served before, in calls a second, and have at most so many loads
 // under way, 0 for any number.
-func (c *Core) Vouch(perSec float64, loads int) { c.router.Vouch(c.loop.Now(), perSec, loads) }
+func (c *Core) AssumeRate(perSec float64, loads int) {
+	c.router.AssumeRate(c.loop.Now(), perSec, loads)
+}
 
 // Hold leaves workers alone that another gateway knows to drain, in place of those that were held before.
 func (c *Core) Hold(ids map[string]bool) {
--- a/internal/fleet/agreement/agent.go
+++ b/internal/fleet/agreement/agent.go
@@ -223,7 +223,7 @@
 }
 
 // Saw takes what has become of another gateway.
-func (a *Agent) Saw(e member.Event, what member.What) {
+func (a *Agent) Saw(e member.Event, what member.Transition) {
 	a.lived(e.Card.Name, e.Card.Life)
 }
 
--- a/internal/fleet/agreement/frozen.go
+++ b/internal/fleet/agreement/frozen.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"quillrail/internal/fleet/freeze"
-	"quillrail/internal/fleet/guard"
 	"quillrail/internal/fleet/replog"
+	"quillrail/internal/fleet/safeguard"
 )
 
 // clock is this gateway's clock with the bound that is agreed.
@@ -18,7 +18,7 @@
 	if st := a.State(); st != nil {
 		bound = st.Rules.ClockBoundMs
 	}
-	if !guard.On("clock bound") {
+	if !safeguard.Enabled("clock bound") {
 		bound = 0
 	}
 	return freeze.Clock{At: time.UnixMilli(a.h.Now().Milliseconds()), Bound: time.Duration(bound) * time.Millisecond}
@@ -41,17 +41,17 @@
 	if st == nil {
 		return "it is not known yet what is agreed"
 	}
-	if !a.caught && guard.On("caught up") {
+	if !a.caught && safeguard.Enabled("caught up") {
 		return "it is not known yet whether what is agreed is still so"
 	}
 	age, _ := a.Age()
-	if ahead := time.Duration(st.Rules.FreezeAheadMs) * time.Millisecond; age > ahead && guard.On("stricter when stale") {
+	if ahead := time.Duration(st.Rules.FreezeAheadMs) * time.Millisecond; age > ahead && safeguard.Enabled("stricter when stale") {
 		return fmt.Sprintf("nothing has been heard of what is agreed for %v", age.Round(time.Second))
 	}
 	if bound := time.Duration(st.Rules.ClockBoundMs) * time.Millisecond; a.off < -2*bound || a.off > 2*bound+messageFor {
 		return fmt.Sprintf("this gateway's clock is %v off from the leader's, more than the bound of %v allows", a.off.Round(time.Millisecond), bound)
 	}
-	if p := st.Freeze.Forbids(k, []string{a.o.Hall}, c); p != nil && guard.On("freeze") {
+	if p := st.Freeze.Forbids(k, []string{a.o.Hall}, c); p != nil && safeguard.Enabled("freeze") {
 		until, _ := p.InForce(c.At, c.Bound)
 		return fmt.Sprintf("the freeze %s of %s is in force until %s", p.Name, p.Owner, until.UTC().Format(time.RFC3339))
 	}
--- a/internal/fleet/agreement/lead.go
+++ b/internal/fleet/agreement/lead.go
@@ -92,7 +92,7 @@
 // view is what all reports come to.
 func (a *Agent) view(now time.Duration) *change.View {
 	l, st := &a.lead, a.State()
-	v := &change.View{Ctx: change.Ctx{Index: st.Index, At: max(now.Milliseconds(), st.At)}, Self: a.o.Name, Things: map[change.Thing]change.Sight{},
+	v := &change.View{Context: change.Context{Index: st.Index, At: max(now.Milliseconds(), st.At)}, Self: a.o.Name, Things: map[change.Thing]change.Observation{},
 		Samples: map[string]change.Sample{}, Classes: len(a.o.Classes), Lonely: l.alone.Milliseconds()}
 	v.Only = map[change.Thing]int{}
 	there, elsewhere := map[string]map[string]bool{}, map[string]map[string]bool{}
@@ -108,7 +108,7 @@
 		case r.Warm:
 			h = change.Well
 		}
-		v.Things[change.Of(change.Gateway, name)] = change.Sight{Hall: r.Hall, Health: h, Life: r.Life, Version: r.Version, Config: r.Config,
+		v.Things[change.Of(change.Gateway, name)] = change.Observation{Hall: r.Hall, Health: h, Life: r.Life, Version: r.Version, Config: r.Config,
 			Witnesses: l.witnesses(st, name, r.Life, now)}
 		v.Samples[name] = change.Sample{Hall: r.Hall, Counts: change.Counts{Life: r.Life, Classes: r.Classes}}
 		for _, c := range r.Copies {
@@ -208,7 +208,7 @@
 			continue
 		}
 		if _, named := seen[t.Name()]; !named && reports > 0 {
-			v.Things[t] = change.Sight{Hall: k.Hall, Health: k.Health, Life: k.Life}
+			v.Things[t] = change.Observation{Hall: k.Hall, Health: k.Health, Life: k.Life}
 			if k.Health == change.Well {
 				x := v.Things[t]
 				x.Witnesses = sorted(l.reports)
@@ -218,7 +218,7 @@
 	}
 	for id, t := range seen {
 		k := st.Change.Things[change.Of(change.Worker, id)]
-		x := change.Sight{Hall: t.last.Hall, Life: t.last.Start, Health: change.Well, Witnesses: t.well}
+		x := change.Observation{Hall: t.last.Hall, Life: t.last.Start, Health: change.Well, Witnesses: t.well}
 		silent := reports - t.all // they see what the log has
 		if k != nil && k.Health == change.Well && st.Change.PermitOf(change.Of(change.Worker, id)) == nil && k.Life == t.last.Start {
 			for _, name := range sorted(l.reports) {
--- a/internal/fleet/agreement/messages.go
+++ b/internal/fleet/agreement/messages.go
@@ -66,7 +66,7 @@
 	switch x.Kind {
 	case messageLifeQuestion:
 		st := a.State()
-		y := message{Kind: messageLifeAnswer, Life: a.lived(m.From, member.Life{N: x.Life, Tag: x.Tag}), ID: a.id}
+		y := message{Kind: messageLifeAnswer, Life: a.lived(m.From, member.Incarnation{N: x.Life, Tag: x.Tag}), ID: a.id}
 		if st != nil {
 			y.Index = st.Index
 		}
--- a/internal/fleet/agreement/rebuild.go
+++ b/internal/fleet/agreement/rebuild.go
@@ -41,7 +41,7 @@
 	}
 	st.Era++
 	if r := st.Change.Current(); r != nil {
-		st.Change.Halt(change.Ctx{Index: st.Index, At: st.At}, r.ID, "the agreement was begun anew")
+		st.Change.Pause(change.Context{Index: st.Index, At: st.At}, r.ID, "the agreement was begun anew")
 	}
 	a.forfeit()
 	a.log.Warn("the agreement is begun anew, without its majority", zap.String("by", by), zap.String("and", and), zap.Uint64("era", st.Era))
--- a/internal/fleet/agreement/sites.go
+++ b/internal/fleet/agreement/sites.go
@@ -7,8 +7,8 @@
 
 	"quillrail/internal/core"
 	"quillrail/internal/fleet/change"
-	"quillrail/internal/fleet/guard"
 	"quillrail/internal/fleet/replog"
+	"quillrail/internal/fleet/safeguard"
 	"quillrail/internal/fleet/site"
 )
 
@@ -23,7 +23,7 @@
 func (a *Agent) Place(call *core.Call) (zones []int, epoch uint64, why string, pause time.Duration) {
 	st := a.State()
 	if st == nil && len(a.o.Own) == 0 {
-		if a.o.First == nil || !guard.On("asks first") {
+		if a.o.First == nil || !safeguard.Enabled("asks first") {
 			return nil, 0, "", 0
 		}
 		return nil, 0, "it is not known yet what is agreed", unknownFor
@@ -36,7 +36,7 @@
 		st = &replog.State{Site: &site.State{}}
 	}
 	agreed := st.Site
-	if !guard.On("session epoch") { // each moves sessions by what it sees itself
+	if !safeguard.Enabled("session epoch") { // each moves sessions by what it sees itself
 		own := *agreed
 		own.Down = slices.DeleteFunc(slices.Clone(a.o.Halls), func(h string) bool {
 			for name, m := range a.sight.members {
@@ -49,10 +49,10 @@
 		agreed = &own
 	}
 	p := agreed.Place(c, a.o.Own)
-	if !p.Restricted || !guard.On("restrictions") {
+	if !p.Restricted || !safeguard.Enabled("restrictions") {
 		return nil, 0, "", 0
 	}
-	if !a.caught && a.o.First != nil && guard.On("asks first") {
+	if !a.caught && a.o.First != nil && safeguard.Enabled("asks first") {
 		return nil, 0, "it is not known yet whether what is agreed is still so", unknownFor
 	}
 	zones = []int{}
@@ -157,7 +157,7 @@
 
 // allHave reports whether every gateway has applied an entry, or is known to be out: by a permit, or because it has left.
 func (a *Agent) allHave(st *replog.State, index uint64, now time.Duration) bool {
-	if !guard.On("all have heard") {
+	if !safeguard.Enabled("all have heard") {
 		return true
 	}
 	for t := range st.Change.Things {
--- a/internal/fleet/change/apply.go
+++ b/internal/fleet/change/apply.go
@@ -4,11 +4,11 @@
 	"fmt"
 	"slices"
 
-	"quillrail/internal/fleet/guard"
+	"quillrail/internal/fleet/safeguard"
 )
 
 // Ask has a permit wait. One of an emergency is used at once.
-func (s *State) Ask(c Ctx, p *Permit) error {
+func (s *State) Ask(c Context, p *Permit) error {
 	if len(p.Things) == 0 || len(p.Things) > maxThings || len(s.Permits) >= maxPermits {
 		return fmt.Errorf("a permit for %d things, with %d permits there", len(p.Things), len(s.Permits))
 	}
@@ -43,13 +43,13 @@
 }
 
 // Grant gives leave, if it is the permit's turn and the limits allow it.
-func (s *State) Grant(c Ctx, id uint64, m Measure) error {
+func (s *State) Grant(c Context, id uint64, m Measure) error {
 	p := s.Permit(id)
 	if p == nil || p.Phase != Asked {
 		return fmt.Errorf("permit %d does not wait", id)
 	}
 	passes, err := s.turn(p, m)
-	if err != nil && guard.On("permit limits") {
+	if err != nil && safeguard.Enabled("permit limits") {
 		return err
 	}
 	for _, q := range passes {
@@ -60,17 +60,17 @@
 }
 
 // Use says that the holder, in one of its lives, takes its things out from now on. Only who has seen this agreed may act.
-func (s *State) Use(c Ctx, id uint64, holder string, life uint64) error {
+func (s *State) Use(c Context, id uint64, holder string, life uint64) error {
 	p := s.Permit(id)
 	switch {
 	case p == nil:
 		return fmt.Errorf("permit %d has ended", id)
-	case p.Phase != Granted && guard.On("two steps"):
+	case p.Phase != Granted && safeguard.Enabled("two steps"):
 		return fmt.Errorf("permit %d %s", id, p.Phase)
 	case p.Holder != "" && p.Holder != holder:
 		return fmt.Errorf("permit %d is held by %s", id, p.Holder)
 	}
-	if err := s.Fits(s.takes(p), Measure{}); err != nil && p.Phase == Granted && guard.On("limits at use") {
+	if err := s.Fits(s.takes(p), Measure{}); err != nil && p.Phase == Granted && safeguard.Enabled("limits at use") {
 		p.Phase, p.At = Asked, c.At // something has gone out since it was granted: it waits again
 		return err
 	}
@@ -80,7 +80,7 @@
 }
 
 // Lapse takes back a permit that was not used: nothing is out by it.
-func (s *State) Lapse(c Ctx, id uint64, why string) error {
+func (s *State) Lapse(c Context, id uint64, why string) error {
 	p := s.Permit(id)
 	if p == nil || p.Phase > Granted {
 		return fmt.Errorf("permit %d is in use or has ended", id)
@@ -91,7 +91,7 @@
 
 // Return says that the things are back, or may be used again. A gateway says so for itself in the life that used the permit,
 // or in a later one: an earlier life can't act any more.
-func (s *State) Return(c Ctx, id uint64, holder string, life uint64) error {
+func (s *State) Return(c Context, id uint64, holder string, life uint64) error {
 	p := s.Permit(id)
 	switch {
 	case p == nil:
@@ -106,13 +106,13 @@
 }
 
 // End ends a permit by evidence: its holder has said that its things are back, and others have seen each of them well since.
-func (s *State) End(c Ctx, id uint64) error {
+func (s *State) End(c Context, id uint64) error {
 	p := s.Permit(id)
-	if p == nil || p.Phase != Returned && guard.On("holder's word") {
+	if p == nil || p.Phase != Returned && safeguard.Enabled("holder's word") {
 		return fmt.Errorf("permit %d does not come back", id)
 	}
 	for _, t := range p.Things {
-		if !guard.On("evidence of return") {
+		if !safeguard.Enabled("evidence of return") {
 			break
 		}
 		if k := s.Things[t]; k != nil && (k.Health != Well || k.Index <= p.Back) {
@@ -124,7 +124,7 @@
 }
 
 // Word ends a permit by an operator's word.
-func (s *State) Word(c Ctx, id uint64, by string) error {
+func (s *State) Word(c Context, id uint64, by string) error {
 	p := s.Permit(id)
 	if p == nil {
 		return fmt.Errorf("permit %d has ended", id)
@@ -152,7 +152,7 @@
 }
 
 // See takes what has been seen. That a thing is well needs witnesses other than itself.
-func (s *State) See(c Ctx, all []Seen) error {
+func (s *State) See(c Context, all []Seen) error {
 	var refused error
 	for _, x := range all {
 		if err := x.Thing.Check(); err != nil || len(s.Things) >= 2*4096 {
@@ -198,7 +198,7 @@
 }
 
 // Apply applies a proposal of a driver or a holder. from and life are of the gateway that proposes it.
-func Apply(s *State, c Ctx, from string, life uint64, p Proposal) error {
+func Apply(s *State, c Context, from string, life uint64, p Proposal) error {
 	switch b := p.Body.(type) {
 	case SeeBody:
 		return s.See(c, b.Seen)
@@ -228,11 +228,11 @@
 		case "next":
 			return s.Next(c, b.ID)
 		case "halt":
-			return s.Halt(c, b.ID, b.Reason)
+			return s.Pause(c, b.ID, b.Reason)
 		case "continue":
 			return s.Continue(c, b.ID)
 		case "revert":
-			return s.Revert(c, b.ID, b.Reason)
+			return s.RollBack(c, b.ID, b.Reason)
 		}
 	}
 	return fmt.Errorf("change: no entry %q", p.Kind)
--- a/internal/fleet/change/change_test.go
+++ b/internal/fleet/change/change_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"quillrail/internal/fleet/guard"
+	"quillrail/internal/fleet/safeguard"
 )
 
 // Random steps of gateways that stop, wake, crash and act late on what was agreed, with a leader whose sight is old and whose
@@ -22,11 +22,11 @@
 	}
 	t.Logf("%d states", states)
 	for _, g := range []string{"permit limits", "holder's word", "two steps"} {
-		guard.Off = g
+		safeguard.Disabled = g
 		if _, err := explore(300, 400); err == nil {
 			t.Errorf("without the guard %q nothing is found", g)
 		}
-		guard.Off = ""
+		safeguard.Disabled = ""
 	}
 }
 
@@ -51,8 +51,8 @@
 	if err := third(); err == nil || !strings.Contains(err.Error(), "2 of at most 2") {
 		t.Errorf("a third goes out: %v", err)
 	}
-	guard.Off = "evidence of return"
-	defer func() { guard.Off = "" }()
+	safeguard.Disabled = "evidence of return"
+	defer func() { safeguard.Disabled = "" }()
 	if third() != nil {
 		t.Error("the guard is not what keeps it back")
 	}
@@ -62,14 +62,14 @@
 func TestNobodyWaitsForEver(t *testing.T) {
 	s := NewState(Limits{Gateways: Limit{N: 3}, GatewaysHall: Limit{N: 1}, Margin: 1})
 	var index uint64
-	v := &View{Things: map[Thing]Sight{}}
+	v := &View{Things: map[Thing]Observation{}}
 	do := func(p Proposal) error {
 		index++
 		v.At += 100
-		return Apply(s, Ctx{index, v.At}, "leader", 1, p)
+		return Apply(s, Context{index, v.At}, "leader", 1, p)
 	}
 	for i := range 300 {
-		v.Things[Of(Gateway, fmt.Sprintf("g%03d", i))] = Sight{Hall: fmt.Sprint("h", i%3), Health: Well, Life: 1, Witnesses: []string{"a", "b"}}
+		v.Things[Of(Gateway, fmt.Sprintf("g%03d", i))] = Observation{Hall: fmt.Sprint("h", i%3), Health: Well, Life: 1, Witnesses: []string{"a", "b"}}
 	}
 	for range 3 {
 		do(Proposal{"see", SeeBody{sightings(s, v)}})
@@ -124,7 +124,7 @@
 	var index uint64
 	do := func(kind string, body any) error {
 		index++
-		return Apply(s, Ctx{index, int64(index)}, "g", 1, Proposal{kind, body})
+		return Apply(s, Context{index, int64(index)}, "g", 1, Proposal{kind, body})
 	}
 	see := func(id, hall string, h Health) {
 		do("see", SeeBody{[]Seen{{Thing: Of(Worker, id), Known: Known{Hall: hall, Health: h}, Witnesses: []string{"a", "b"}}}})
--- a/internal/fleet/change/course.go
+++ b/internal/fleet/change/course.go
@@ -60,7 +60,7 @@
 }
 
 // Stand says that all of the wave stand at what is wanted, and prove themselves from now on.
-func (s *State) Stand(c Ctx, id uint64) error {
+func (s *State) Stand(c Context, id uint64) error {
 	r, err := s.running(id)
 	if err != nil || r.Course != Running {
 		return fmt.Errorf("release %d does not run", id)
@@ -75,7 +75,7 @@
 }
 
 // Next goes on to the next wave, or ends the release. The wave has to have stood for as long as it proves itself.
-func (s *State) Next(c Ctx, id uint64) error {
+func (s *State) Next(c Context, id uint64) error {
 	r, err := s.running(id)
 	switch {
 	case err != nil:
@@ -96,8 +96,8 @@
 	return nil
 }
 
-// Halt has a release stand still. What waits for it waits no longer; what is out comes back by itself.
-func (s *State) Halt(c Ctx, id uint64, reason string) error {
+// Pause has a release stand still. What waits for it waits no longer; what is out comes back by itself.
+func (s *State) Pause(c Context, id uint64, reason string) error {
 	r, err := s.running(id)
 	if err != nil {
 		return err
@@ -116,7 +116,7 @@
 }
 
 // Continue has a halted release go on.
-func (s *State) Continue(c Ctx, id uint64) error {
+func (s *State) Continue(c Context, id uint64) error {
 	r, err := s.running(id)
 	if err != nil {
 		return err
@@ -128,8 +128,8 @@
 	return nil
 }
 
-// Revert takes a release back: exactly what it has touched goes to where it stood, wave by wave from the last.
-func (s *State) Revert(c Ctx, id uint64, reason string) error {
+// RollBack takes a release back: exactly what it has touched goes to where it stood, wave by wave from the last.
+func (s *State) RollBack(c Context, id uint64, reason string) error {
 	var r *Release
 	for _, o := range s.Releases {
 		if o.ID == id {
--- a/internal/fleet/change/drive.go
+++ b/internal/fleet/change/drive.go
@@ -6,8 +6,8 @@
 	"slices"
 )
 
-// Sight is what the gateways' reports come to for one thing, as of now.
-type Sight struct {
+// Observation is what the gateways' reports come to for one thing, as of now.
+type Observation struct {
 	Hall            string
 	Health          Health
 	Life            uint64
@@ -18,11 +18,11 @@
 
 // View is what who drives sees.
 type View struct {
-	Ctx
+	Context
 	Measure
 	Self     string
-	Things   map[Thing]Sight   // those of which anything was heard; others are out
-	Samples  map[string]Sample // by gateway
+	Things   map[Thing]Observation // those of which anything was heard; others are out
+	Samples  map[string]Sample     // by gateway
 	Classes  int
 	Lonely   int64  // ms without a majority before this gateway began to lead, until it has driven once
 	Frozen   string // the period that forbids releases now, "" for none
--- a/internal/fleet/change/fits.go
+++ b/internal/fleet/change/fits.go
@@ -5,12 +5,12 @@
 	"maps"
 	"slices"
 
-	"quillrail/internal/fleet/guard"
+	"quillrail/internal/fleet/safeguard"
 )
 
 // Fits reports why things may not go out now, nil if they may.
 func (s *State) Fits(things []Thing, m Measure) error {
-	if !guard.On("budget") {
+	if !safeguard.Enabled("budget") {
 		return nil
 	}
 	for _, kind := range []string{Gateway, Worker} {
--- a/internal/fleet/change/judge.go
+++ b/internal/fleet/change/judge.go
@@ -5,7 +5,7 @@
 	"math"
 	"slices"
 
-	"quillrail/internal/fleet/guard"
+	"quillrail/internal/fleet/safeguard"
 )
 
 // Buckets of latency: each is wider than the one before by the root of two, from 1 ms on; the last has no end.
@@ -182,7 +182,7 @@
 		}
 		strata = append(strata, rest)
 	}
-	if !guard.On("control group") { // against what was before
+	if !safeguard.Enabled("control group") { // against what was before
 		for i := range strata {
 			strata[i].control = nil
 			for _, g := range strata[i].changed {
--- a/internal/fleet/change/permit.go
+++ b/internal/fleet/change/permit.go
@@ -52,8 +52,8 @@
 	How string
 }
 
-// Ctx is the place of an entry in the log.
-type Ctx struct {
+// Context is the place of an entry in the log.
+type Context struct {
 	Index uint64
 	At    int64 // the log's time, Unix ms
 }
--- a/internal/fleet/change/release.go
+++ b/internal/fleet/change/release.go
@@ -122,7 +122,7 @@
 }
 
 // Begin states a release. Its waves are one gateway, then a part of that one's hall, then the rest of it, then hall by hall.
-func (s *State) Begin(c Ctx, r *Release) error {
+func (s *State) Begin(c Context, r *Release) error {
 	if err := r.Check(); err != nil {
 		return err
 	}
--- a/internal/fleet/change/simulation/rehearse_test.go
+++ b/internal/fleet/change/simulation/rehearse_test.go
@@ -7,7 +7,7 @@
 	"testing"
 
 	"quillrail/internal/fleet/change"
-	"quillrail/internal/fleet/guard"
+	"quillrail/internal/fleet/safeguard"
 )
 
 func release() change.Release {
@@ -76,14 +76,14 @@
 		}
 		t.Logf("harmless, bad hour %v: %d of %d halted, %d went through", bad, halted, n, ended)
 		if bad {
-			guard.Off = "control group"
+			safeguard.Disabled = "control group"
 			without := 0
 			for _, r := range plays(n, func(seed uint64) Options { o := options(seed); o.BadHour = bad; return o }) {
 				if r.Halted != "" {
 					without++
 				}
 			}
-			guard.Off = ""
+			safeguard.Disabled = ""
 			if t.Logf("compared with what was before: %d of %d halted", without, n); without*2 < n {
 				t.Error("without those not changed as a control nothing else happens")
 			}
--- a/internal/fleet/change/simulation/rehearse.go
+++ b/internal/fleet/change/simulation/simulation.go
@@ -95,7 +95,7 @@
 		all = append(all, g)
 		seen = append(seen, change.Seen{Thing: g.thing, Known: change.Known{Hall: g.hall, Health: change.Well, Life: 1, Version: "v1"}, Witnesses: []string{"x", "y"}})
 	}
-	s.See(change.Ctx{Index: 1, At: 1}, seen)
+	s.See(change.Context{Index: 1, At: 1}, seen)
 	d := change.NewDriver()
 	p := &play{o: o, rng: rng, all: all, s: s, d: d, index: 1}
 	for p.now = tick; p.now <= o.Length; p.now += tick {
@@ -174,7 +174,7 @@
 }
 
 func (p *play) view() *change.View {
-	v := &change.View{Ctx: change.Ctx{Index: p.index, At: p.now}, Self: "leader", Things: map[change.Thing]change.Sight{},
+	v := &change.View{Context: change.Context{Index: p.index, At: p.now}, Self: "leader", Things: map[change.Thing]change.Observation{},
 		Samples: map[string]change.Sample{}, Classes: classes}
 	for _, g := range p.all {
 		v.Load += p.o.PerSecond
@@ -182,7 +182,7 @@
 		if g.upAt != 0 {
 			h = change.Out
 		}
-		v.Things[g.thing] = change.Sight{Hall: g.hall, Health: h, Life: g.life, Version: g.version, Witnesses: []string{"x", "y"}}
+		v.Things[g.thing] = change.Observation{Hall: g.hall, Health: h, Life: g.life, Version: g.version, Witnesses: []string{"x", "y"}}
 		v.Samples[g.thing.Name()] = change.Sample{Hall: g.hall, Counts: g.shown}
 	}
 	return v
@@ -191,7 +191,7 @@
 // apply applies an entry, which goes to every gateway.
 func (p *play) apply(x change.Proposal) {
 	p.index++
-	c := change.Ctx{Index: p.index, At: p.now}
+	c := change.Context{Index: p.index, At: p.now}
 	if change.Apply(p.s, c, "leader", 1, x) == nil {
 		p.res.Entries++
 		p.tell(x, len(p.all))
--- a/internal/fleet/change/world_test.go
+++ b/internal/fleet/change/world_test.go
@@ -14,8 +14,8 @@
 	index uint64
 	now   int64
 	all   []*actor
-	seen  map[Thing]Sight // as of an earlier step
-	count int             // entries applied
+	seen  map[Thing]Observation // as of an earlier step
+	count int                   // entries applied
 }
 
 // actor is a gateway: intent is the permit that it has seen itself use and has not acted on.
@@ -32,7 +32,7 @@
 }
 
 func newWorld(seed uint64) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 3)), s: NewState(Limits{Gateways: Limit{N: 2}, GatewaysHall: Limit{N: 1}, Margin: 1, Only: Limit{N: 1}}), seen: map[Thing]Sight{}}
+	w := &world{rng: rand.New(rand.NewPCG(seed, 3)), s: NewState(Limits{Gateways: Limit{N: 2}, GatewaysHall: Limit{N: 1}, Margin: 1, Only: Limit{N: 1}}), seen: map[Thing]Observation{}}
 	for i := range 6 {
 		w.all = append(w.all, &actor{thing: Of(Gateway, fmt.Sprint("g", i)), hall: fmt.Sprint("h", i%3), life: 1})
 	}
@@ -51,18 +51,18 @@
 		if a.out || a.coming || a.stopped || a.crashed {
 			h = Out
 		}
-		w.seen[a.thing] = Sight{Hall: a.hall, Health: h, Life: a.life, Version: "v1", Witnesses: []string{"g1", "g2", "g3"}}
+		w.seen[a.thing] = Observation{Hall: a.hall, Health: h, Life: a.life, Version: "v1", Witnesses: []string{"g1", "g2", "g3"}}
 	}
 }
 
 func (w *world) view() *View {
-	return &View{Ctx: Ctx{w.index, w.now}, Measure: Measure{}, Things: w.seen}
+	return &View{Context: Context{w.index, w.now}, Measure: Measure{}, Things: w.seen}
 }
 
 func (w *world) apply(from string, life uint64, p Proposal) error {
 	w.index++
 	w.count++
-	return Apply(w.s, Ctx{w.index, w.now}, from, life, p)
+	return Apply(w.s, Context{w.index, w.now}, from, life, p)
 }
 
 // step does something at random and reports what must not be.
--- a/internal/fleet/disk.go
+++ b/internal/fleet/disk.go
@@ -18,7 +18,7 @@
 type result struct {
 	db    *store.Store
 	found store.Found
-	life  member.Life
+	life  member.Incarnation
 	err   error
 }
 
--- a/internal/fleet/gateway.go
+++ b/internal/fleet/gateway.go
@@ -32,7 +32,7 @@
 	Event() uint64      // the last event of the list that was taken
 	Ban(roster.Ban)     // another gateway leaves a worker out
 	CallBack(id string) // or uses it again
-	// Vouch has cold workers judged by what was served before, and bounds the loads under way, 0 for no bound.
-	Vouch(perSec float64, loads int)
+	// AssumeRate has cold workers judged by what was served before, and bounds the loads under way, 0 for no bound.
+	AssumeRate(perSec float64, loads int)
 	Hold(ids map[string]bool) // workers that others know to drain; in place of those held before
 }
--- a/internal/fleet/member/delegate.go
+++ b/internal/fleet/member/delegate.go
@@ -9,14 +9,14 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// news is a piece of news on its way.
-type news []byte
+// broadcast is a piece of news on its way.
+type broadcast []byte
 
-func (n news) Invalidates(memberlist.Broadcast) bool { return false }
+func (n broadcast) Invalidates(memberlist.Broadcast) bool { return false }
 
-func (n news) Message() []byte { return n }
+func (n broadcast) Message() []byte { return n }
 
-func (n news) Finished() {}
+func (n broadcast) Finished() {}
 
 // What memberlist asks and tells.
 
@@ -70,7 +70,7 @@
 		t.trouble(err.Error())
 		return
 	}
-	t.addrs.Store(c.Name, place{n.Address(), found == Joining})
+	t.addrs.Store(c.Name, route{n.Address(), found == Joining})
 	e := Event{Card: c, State: c.State}
 	if found != Joining {
 		e.State = found
@@ -78,7 +78,7 @@
 	t.h.Event(e)
 }
 
-func cardOf(n *memberlist.Node) (c Card, err error) {
+func cardOf(n *memberlist.Node) (c Metadata, err error) {
 	if err := msgpack.Unmarshal(n.Meta, &c); err != nil {
 		return c, fmt.Errorf("member: what %s says of itself is not understood: %w", n.Name, err)
 	}
@@ -129,10 +129,10 @@
 	}
 }
 
-// lines takes memberlist's own log. What it calls errors are mostly peers that are not there.
-type lines struct{ t *Transport }
+// logWriter takes memberlist's own log. What it calls errors are mostly peers that are not there.
+type logWriter struct{ t *Transport }
 
-func (l *lines) Write(b []byte) (int, error) {
+func (l *logWriter) Write(b []byte) (int, error) {
 	text := strings.TrimSpace(string(b))
 	switch {
 	case strings.Contains(text, "label"): // another fleet, or nobody's
@@ -143,4 +143,4 @@
 	return len(b), nil
 }
 
-var _ io.Writer = (*lines)(nil)
+var _ io.Writer = (*logWriter)(nil)
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -10,24 +10,26 @@
 	"time"
 )
 
-// Life is one incarnation of a gateway: one life of a process. Of two lives of a name the greater one is the later. Tag is
+// Incarnation is one incarnation of a gateway: one life of a process. Of two lives of a name the greater one is the later. Tag is
 // drawn at random, so that two lives that took the same number, with both disks lost and both clocks wrong, still differ.
-type Life struct {
+type Incarnation struct {
 	N   uint64
 	Tag uint64
 }
 
 // Compare orders lives.
-func (l Life) Compare(o Life) int { return cmp.Or(cmp.Compare(l.N, o.N), cmp.Compare(l.Tag, o.Tag)) }
+func (l Incarnation) Compare(o Incarnation) int {
+	return cmp.Or(cmp.Compare(l.N, o.N), cmp.Compare(l.Tag, o.Tag))
+}
 
 // Next is the life of a process that starts: later than the one on disk, than what others have heard of, and, where
 // neither is known, than what the clock makes likely.
-func Next(stored, heard uint64, clock time.Duration, tag uint64) Life {
+func Next(stored, heard uint64, clock time.Duration, tag uint64) Incarnation {
 	n := max(stored, heard) + 1
 	if stored == 0 { // the disk is empty: the clock grows faster than starts do
 		n = max(n, uint64(max(0, clock/time.Millisecond)))
 	}
-	return Life{n, tag}
+	return Incarnation{n, tag}
 }
 
 // State is how far a gateway has come, as the others see it.
@@ -58,10 +60,10 @@
 	Minor = 0
 )
 
-// Card is what a gateway says of itself.
-type Card struct {
+// Metadata is what a gateway says of itself.
+type Metadata struct {
 	Name         string
-	Life         Life
+	Life         Incarnation
 	State        State
 	Hall         int
 	Major, Minor uint8
@@ -73,7 +75,7 @@
 )
 
 // Check reports what no card can hold.
-func (c *Card) Check() error {
+func (c *Metadata) Check() error {
 	switch {
 	case c.Name == "" || len(c.Name) > maxName:
 		return fmt.Errorf("member: name %q", c.Name[:min(len(c.Name), maxName)])
@@ -89,26 +91,26 @@
 
 // Event is something that has become known of another gateway.
 type Event struct {
-	Card  Card
+	Card  Metadata
 	State State // Card's own, or what was found
 }
 
-// What is to be done about an event.
-type What int
+// Transition is to be done about an event.
+type Transition int
 
 // The kinds of news.
 const (
-	Nothing    What = iota
-	Came            // a new life of a gateway
-	Changed         // its state
-	Stale           // of a life that was followed by a later one: not to be heeded
-	Namesake        // another process has this gateway's name, and is an earlier life: it has to go
-	Superseded      // it is the later life: this process must not act for the name any more
+	Nothing    Transition = iota
+	Came                  // a new life of a gateway
+	Changed               // its state
+	Stale                 // of a life that was followed by a later one: not to be heeded
+	Namesake              // another process has this gateway's name, and is an earlier life: it has to go
+	Superseded            // it is the later life: this process must not act for the name any more
 )
 
 // View is what a gateway knows of the fleet. It belongs to one goroutine.
 type View struct {
-	self   Card
+	self   Metadata
 	others map[string]Event
 	over   bool // a later life of this name has been heard of
 	sure   bool // others are known to hear this process
@@ -120,18 +122,18 @@
 const pauseLimit = 2 * time.Second
 
 // NewView returns the view of a process that has heard nobody yet.
-func NewView(self Card, now time.Duration) *View {
+func NewView(self Metadata, now time.Duration) *View {
 	return &View{self: self, others: map[string]Event{}, sure: true, beat: now}
 }
 
 // Self is the process's own card.
-func (v *View) Self() Card { return v.self }
+func (v *View) Self() Metadata { return v.self }
 
 // Become changes the process's own state.
 func (v *View) Become(s State) { v.self.State = s }
 
-// Hear takes in an event. Of a name only the latest life counts; within one life the last word does.
-func (v *View) Hear(e Event) What {
+// Observe takes in an event. Of a name only the latest life counts; within one life the last word does.
+func (v *View) Observe(e Event) Transition {
 	if e.Card.Name == v.self.Name {
 		switch d := e.Card.Life.Compare(v.self.Life); {
 		case d == 0 || e.State >= Suspected: // itself, or the end of an earlier life
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -20,8 +20,8 @@
 	flag.Set("rapid.nofailfile", "true")
 }
 
-func card(name string, n, tag uint64) Card {
-	return Card{Name: name, Life: Life{n, tag}, Major: Major, Minor: Minor}
+func card(name string, n, tag uint64) Metadata {
+	return Metadata{Name: name, Life: Incarnation{n, tag}, Major: Major, Minor: Minor}
 }
 
 // A life is later than every one that is known of its name; with an empty disk it follows the clock, also one that has
@@ -41,15 +41,15 @@
 func TestViewAgainstReference(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		v := NewView(card("me", 5, 5), 0)
-		latest, state := map[string]Life{}, map[string]State{}
+		latest, state := map[string]Incarnation{}, map[string]State{}
 		for range 60 {
 			name := rapid.SampledFrom([]string{"a", "b", "me"}).Draw(t, "name")
 			c := card(name, rapid.Uint64Range(1, 8).Draw(t, "n"), rapid.Uint64Range(4, 6).Draw(t, "tag"))
 			s := State(rapid.IntRange(0, int(Left)).Draw(t, "state"))
-			what := v.Hear(Event{c, s})
-			d := c.Life.Compare(Life{5, 5})
+			what := v.Observe(Event{c, s})
+			d := c.Life.Compare(Incarnation{5, 5})
 			if name == "me" {
-				want := map[bool]What{true: Superseded, false: Namesake}[d > 0]
+				want := map[bool]Transition{true: Superseded, false: Namesake}[d > 0]
 				if d == 0 || s >= Suspected {
 					want = Nothing
 				}
@@ -84,7 +84,7 @@
 // A process that stood still must not act on anything shared until the others have answered.
 func TestPauseIsNoticed(t *testing.T) {
 	v := NewView(card("me", 1, 1), 0)
-	v.Hear(Event{card("a", 1, 1), Serving})
+	v.Observe(Event{card("a", 1, 1), Serving})
 	if !v.Beat(time.Second) || !v.May() {
 		t.Error("a second is no pause")
 	}
@@ -100,8 +100,8 @@
 }
 
 func TestCardIsChecked(t *testing.T) {
-	for i, c := range []Card{{}, card("", 1, 1), card("a", 0, 1), {Name: "a", Life: Life{1, 1}, Major: Major + 1},
-		{Name: "a", Life: Life{1, 1}, Major: Major, State: Gone}} {
+	for i, c := range []Metadata{{}, card("", 1, 1), card("a", 0, 1), {Name: "a", Life: Incarnation{1, 1}, Major: Major + 1},
+		{Name: "a", Life: Incarnation{1, 1}, Major: Major, State: Gone}} {
 		if c.Check() == nil {
 			t.Errorf("card %d is taken", i)
 		}
@@ -167,7 +167,7 @@
 	return l.Addr().String()
 }
 
-func open(t *testing.T, fleet, bind string, c Card, seeds ...string) (*Transport, *ear) {
+func open(t *testing.T, fleet, bind string, c Metadata, seeds ...string) (*Transport, *ear) {
 	t.Helper()
 	e := &ear{word: "word of " + c.Name, more: make(chan struct{}, 1)}
 	tr, err := Open(Options{Fleet: fleet, Bind: bind, Seeds: seeds, Self: c}, e, zap.NewNop())
--- a/internal/fleet/member/reach.go
+++ b/internal/fleet/member/reach.go
@@ -4,8 +4,8 @@
 	"quillrail/internal/fleet/link"
 )
 
-// place is where a gateway is reached, and whether it is there.
-type place struct {
+// route is where a gateway is reached, and whether it is there.
+type route struct {
 	addr  string
 	there bool
 }
@@ -13,7 +13,7 @@
 // there are the addresses of the other gateways that are there.
 func (t *Transport) there() (addrs []string) {
 	t.addrs.Range(func(name, p any) bool {
-		if p := p.(place); p.there && name != t.o.Self.Name {
+		if p := p.(route); p.there && name != t.o.Self.Name {
 			addrs = append(addrs, p.addr)
 		}
 		return true
@@ -24,7 +24,7 @@
 // Send has a message sent to one gateway, over the link to it. It reports whether there was room.
 func (t *Transport) Send(to string, m link.Message) bool {
 	addr, ok := t.addrs.Load(to)
-	return ok && t.links.Send(addr.(place).addr, m)
+	return ok && t.links.Send(addr.(route).addr, m)
 }
 
 // SendAll has a message sent to each of the others: for what must not be late. Gossip reaches all in the end, but one in
--- a/internal/fleet/member/transport.go
+++ b/internal/fleet/member/transport.go
@@ -35,7 +35,7 @@
 	Bind  string            // host:port for datagrams and connections
 	Seeds []string          // host:port of gateways to begin with; this one's own may be among them
 	Via   map[string]string // where gateways are reached that are not at the address they name: that address, the other one
-	Self  Card
+	Self  Metadata
 }
 
 // Handler is told what comes in, on the transport's goroutines; it must not block. Word is asked for what to tell a gateway
@@ -58,7 +58,7 @@
 	h     Handler
 	log   *zap.Logger
 	o     Options
-	card  atomic.Pointer[Card]
+	card  atomic.Pointer[Metadata]
 	stop  context.CancelFunc
 	done  chan struct{}
 	lost  atomic.Uint64 // pieces of news that found no room
@@ -82,7 +82,7 @@
 	sum := sha256.Sum256([]byte(o.Fleet))
 	c.Label = fmt.Sprintf("quillrail-%x", sum[:8])
 	c.Delegate, c.Events, c.Conflict, c.Alive = t, t, t, t
-	c.Logger = log.New(&lines{t: t}, "", 0)
+	c.Logger = log.New(&logWriter{t: t}, "", 0)
 	inner, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: int(n), Logger: c.Logger})
 	if err != nil {
 		return nil, fmt.Errorf("member: %w", err)
@@ -182,7 +182,7 @@
 }
 
 // Say changes what this gateway says of itself.
-func (t *Transport) Say(c Card) {
+func (t *Transport) Say(c Metadata) {
 	t.card.Store(&c)
 	go t.list.UpdateNode(leaveLimit)
 }
@@ -193,7 +193,7 @@
 		t.lost.Add(1)
 		return false
 	}
-	t.queue.QueueBroadcast(news(what))
+	t.queue.QueueBroadcast(broadcast(what))
 	return true
 }
 
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -35,7 +35,7 @@
 	parts []Part
 
 	view    *member.View
-	life    member.Life
+	life    member.Incarnation
 	db      *store.Store
 	found   map[string][]byte // on disk, while the parts begin
 	net     *member.Transport
@@ -107,7 +107,7 @@
 	if n.life.N == 0 { // the disk has not answered
 		n.life = member.Next(0, 0, n.loop.Now(), rand.Uint64())
 	}
-	self := member.Card{Name: n.name, Life: n.life, State: member.Joining, Hall: n.hall, Major: member.Major, Minor: member.Minor}
+	self := member.Metadata{Name: n.name, Life: n.life, State: member.Joining, Hall: n.hall, Major: member.Major, Minor: member.Minor}
 	n.view = member.NewView(self, n.loop.Now())
 	n.found = entries
 	for _, p := range n.parts {
--- a/internal/fleet/part.go
+++ b/internal/fleet/part.go
@@ -27,7 +27,7 @@
 	// Hear takes a message of the same part at another gateway.
 	Hear(m Received)
 	// Saw takes what has become of another gateway.
-	Saw(e member.Event, what member.What)
+	Saw(e member.Event, what member.Transition)
 	// Tell returns what a gateway that asks is told, nil for nothing.
 	Tell() []byte
 	// Save returns what has to outlive a power loss, to be encoded off the turn; nil for nothing new.
@@ -52,7 +52,7 @@
 func (Base) Hear(Received) {}
 
 // Saw does nothing.
-func (Base) Saw(member.Event, member.What) {}
+func (Base) Saw(member.Event, member.Transition) {}
 
 // Tell does nothing.
 func (Base) Tell() []byte { return nil }
@@ -106,7 +106,7 @@
 func (h *Host) May() bool { return h.n.view != nil && h.n.view.May() }
 
 // Life is this process's incarnation.
-func (h *Host) Life() member.Life { return h.n.life }
+func (h *Host) Life() member.Incarnation { return h.n.life }
 
 // Found is all that was on disk; it is there while parts begin.
 func (h *Host) Found() map[string][]byte { return h.n.found }
--- a/internal/fleet/receiver.go
+++ b/internal/fleet/receiver.go
@@ -110,7 +110,7 @@
 
 // event takes what has become of another gateway.
 func (n *Node) event(e member.Event) {
-	what := n.view.Hear(e)
+	what := n.view.Observe(e)
 	f := []zap.Field{zap.String("gateway", e.Card.Name), zap.Uint64("incarnation", e.Card.Life.N), zap.Stringer("state", e.State),
 		zap.Int("gateways", n.view.Alive())}
 	switch what {
--- a/internal/fleet/recovery.go
+++ b/internal/fleet/recovery.go
@@ -175,7 +175,7 @@
 	}
 	if c.admit != nil && c.course.Phase() == recover.Admitting {
 		c.admit.Fleet(c.h.View().Alive())
-		c.gw.Vouch(c.former, c.admit.Slots())
+		c.gw.AssumeRate(c.former, c.admit.Slots())
 		if c.admit.Done(now) {
 			c.pass(recover.Admitting, "")
 		}
@@ -198,7 +198,7 @@
 		c.h.Log().Info("coming back", f...)
 	}
 	if c.course.Phase() == recover.Full {
-		c.gw.Vouch(0, 0)
+		c.gw.AssumeRate(0, 0)
 		c.h.Retell()
 	}
 	return true
--- a/internal/fleet/replog/eligibility.go
+++ b/internal/fleet/replog/eligibility.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"quillrail/internal/fleet/guard"
+	"quillrail/internal/fleet/safeguard"
 )
 
 // Verdict is what becomes of the vote that a gateway's disk holds.
@@ -38,7 +38,7 @@
 // Verdict is what follows from the answers so far. With itself those who have answered have to be a majority of the voters:
 // one of any majority that a former life took part in is then among them, itself left out.
 func (c *Eligibility) Verdict() Verdict {
-	if !guard.On("voter identity") {
+	if !safeguard.Enabled("voter identity") {
 		return May
 	}
 	others, voting := 0, 0
--- a/internal/fleet/replog/eligibility_test.go
+++ b/internal/fleet/replog/eligibility_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"quillrail/internal/fleet/guard"
+	"quillrail/internal/fleet/safeguard"
 )
 
 // A voter with an older disk helps a leader into office that lacks what was agreed, and two things stand at one place: this
@@ -63,8 +63,8 @@
 	if play(claim) {
 		t.Error("two things were agreed at one place")
 	}
-	guard.Off = "voter identity"
-	defer func() { guard.Off = "" }()
+	safeguard.Disabled = "voter identity"
+	defer func() { safeguard.Disabled = "" }()
 	if !play(claim) {
 		t.Error("nothing is found without the guard")
 	}
--- a/internal/fleet/replog/entry.go
+++ b/internal/fleet/replog/entry.go
@@ -67,7 +67,7 @@
 			return err
 		}
 	}
-	return k.do(s, change.Ctx{Index: index, At: s.At}, e, body)
+	return k.do(s, change.Context{Index: index, At: s.At}, e, body)
 }
 
 // Check reports what no entry can be, before it is proposed.
--- a/internal/fleet/replog/kinds.go
+++ b/internal/fleet/replog/kinds.go
@@ -7,7 +7,7 @@
 
 	"quillrail/internal/fleet/change"
 	"quillrail/internal/fleet/freeze"
-	"quillrail/internal/fleet/guard"
+	"quillrail/internal/fleet/safeguard"
 )
 
 // kind is what is known of a kind of entry: the form of its body, what a freeze calls it if operators propose it, and what
@@ -16,18 +16,18 @@
 	body   func() any
 	freeze freeze.Kind
 	level  int
-	do     func(s *State, c change.Ctx, e *Entry, body any) error
+	do     func(s *State, c change.Context, e *Entry, body any) error
 }
 
-func of[T any](f func(s *State, c change.Ctx, e *Entry, b *T) error) kind {
-	return kind{body: func() any { return new(T) }, level: 1, do: func(s *State, c change.Ctx, e *Entry, b any) error { return f(s, c, e, b.(*T)) }}
+func of[T any](f func(s *State, c change.Context, e *Entry, b *T) error) kind {
+	return kind{body: func() any { return new(T) }, level: 1, do: func(s *State, c change.Context, e *Entry, b any) error { return f(s, c, e, b.(*T)) }}
 }
 
 func (k kind) forbidden(f freeze.Kind) kind { k.freeze = f; return k }
 
 // step is an entry of package change.
 func step[T any](name string) kind {
-	return of(func(s *State, c change.Ctx, e *Entry, b *T) error {
+	return of(func(s *State, c change.Context, e *Entry, b *T) error {
 		return change.Apply(s.Change, c, e.From, e.Life, change.Proposal{Kind: name, Body: *b})
 	})
 }
@@ -36,7 +36,7 @@
 	"see": step[change.SeeBody]("see"), "grant": step[change.GrantBody]("grant"), "use": step[change.PermitBody]("use"),
 	"lapse": step[change.PermitBody]("lapse"), "return": step[change.PermitBody]("return"), "end": step[change.PermitBody]("end"),
 	"stand": step[change.HaltBody]("stand"), "next": step[change.HaltBody]("next"), "halt": step[change.HaltBody]("halt"),
-	"ask": of(func(s *State, c change.Ctx, e *Entry, p *change.Permit) error {
+	"ask": of(func(s *State, c change.Context, e *Entry, p *change.Permit) error {
 		p.By = e.By
 		if k := freeze.Bans; e.By != "" && !p.Emergency && slices.ContainsFunc(p.Things, func(t change.Thing) bool { return t.Kind() == change.Worker }) {
 			if err := s.thaw(k, s.hallsOf(p.Things), e); err != nil {
@@ -45,13 +45,13 @@
 		}
 		return s.Change.Ask(c, p)
 	}),
-	"word": of(func(s *State, c change.Ctx, e *Entry, b *change.PermitBody) error {
+	"word": of(func(s *State, c change.Context, e *Entry, b *change.PermitBody) error {
 		return s.Change.Word(c, b.ID, e.By)
 	}),
-	"forget": of(func(s *State, c change.Ctx, _ *Entry, b *NameBody) error {
+	"forget": of(func(s *State, c change.Context, _ *Entry, b *NameBody) error {
 		return s.Change.See(c, []change.Seen{{Thing: change.Thing(b.Name), Forget: true}})
 	}),
-	"begin": of(func(s *State, c change.Ctx, e *Entry, r *change.Release) error {
+	"begin": of(func(s *State, c change.Context, e *Entry, r *change.Release) error {
 		r.By = e.By
 		if err := s.Change.Begin(c, r); err != nil {
 			return err
@@ -59,59 +59,59 @@
 		return s.inTime(r)
 	}).forbidden(freeze.Releases),
 	"continue": step[change.HaltBody]("continue").forbidden(freeze.Releases),
-	"revert": of(func(s *State, c change.Ctx, e *Entry, b *change.HaltBody) error {
+	"revert": of(func(s *State, c change.Context, e *Entry, b *change.HaltBody) error {
 		if e.By != "" {
 			if err := s.thaw(freeze.Releases, nil, e); err != nil {
 				return err
 			}
 		}
-		return s.Change.Revert(c, b.ID, b.Reason)
+		return s.Change.RollBack(c, b.ID, b.Reason)
 	}),
-	"limits": of(func(s *State, _ change.Ctx, _ *Entry, b *LimitsBody) error {
+	"limits": of(func(s *State, _ change.Context, _ *Entry, b *LimitsBody) error {
 		if err := b.Limits.Check(); err != nil {
 			return err
 		}
 		s.Change.Limits = b.Limits
 		return nil
 	}).forbidden(freeze.Limits),
-	"rules": of(func(s *State, _ change.Ctx, _ *Entry, b *RulesBody) error {
+	"rules": of(func(s *State, _ change.Context, _ *Entry, b *RulesBody) error {
 		if r := b.Rules; r.ClockBoundMs < 0 || r.ClockBoundMs > 60_000 || r.FreezeAheadMs < r.ClockBoundMs || r.FreezeAheadMs > 86_400_000 {
 			return fmt.Errorf("clock_bound_ms is %d, freeze_ahead_s %d", r.ClockBoundMs, r.FreezeAheadMs/1000)
 		}
 		s.Rules = b.Rules
 		return nil
 	}).forbidden(freeze.Limits),
-	"freeze": of(func(s *State, c change.Ctx, e *Entry, p *freeze.Period) error {
+	"freeze": of(func(s *State, c change.Context, e *Entry, p *freeze.Period) error {
 		p.ID, p.Owner = c.Index, e.By
 		return s.Freeze.Declare(p, s.Clock(), s.ahead())
 	}),
-	"take": of(func(s *State, _ change.Ctx, e *Entry, b *NameBody) error {
+	"take": of(func(s *State, _ change.Context, e *Entry, b *NameBody) error {
 		return s.thaw(freeze.Config, s.hallsOf([]change.Thing{change.Of(change.Gateway, b.Name)}), e)
 	}),
-	"spans": of(func(s *State, _ change.Ctx, _ *Entry, b *SpansBody) error {
+	"spans": of(func(s *State, _ change.Context, _ *Entry, b *SpansBody) error {
 		s.Freeze.Renew(b.Name, b.Spans, s.Clock().At)
 		return nil
 	}),
-	"except": of(func(s *State, c change.Ctx, e *Entry, b *ExceptBody) error {
+	"except": of(func(s *State, c change.Context, e *Entry, b *ExceptBody) error {
 		b.Exception.ID, b.Exception.By[0] = c.Index, e.By
 		return s.Freeze.Except(&b.Exception, s.Clock())
 	}),
-	"second": of(func(s *State, _ change.Ctx, e *Entry, b *SecondBody) error { return s.Freeze.Second(b.ID, e.By) }),
-	"lift": of(func(s *State, _ change.Ctx, e *Entry, b *EndBody) error {
+	"second": of(func(s *State, _ change.Context, e *Entry, b *SecondBody) error { return s.Freeze.Second(b.ID, e.By) }),
+	"lift": of(func(s *State, _ change.Context, e *Entry, b *EndBody) error {
 		return s.Freeze.End(b.Name, b.At, e.Except, s.Clock())
 	}),
 	"restrict":   of(restrict),
-	"unrestrict": of(func(s *State, c change.Ctx, _ *Entry, b *NameBody) error { return s.Site.Lift(b.Name, c.Index) }).forbidden(freeze.Restrictions),
-	"widen":      of(func(s *State, _ change.Ctx, _ *Entry, b *NameBody) error { return s.Site.Widen(b.Name) }).forbidden(freeze.Restrictions),
-	"lose": of(func(s *State, _ change.Ctx, e *Entry, b *NameBody) error {
+	"unrestrict": of(func(s *State, c change.Context, _ *Entry, b *NameBody) error { return s.Site.Lift(b.Name, c.Index) }).forbidden(freeze.Restrictions),
+	"widen":      of(func(s *State, _ change.Context, _ *Entry, b *NameBody) error { return s.Site.Widen(b.Name) }).forbidden(freeze.Restrictions),
+	"lose": of(func(s *State, _ change.Context, e *Entry, b *NameBody) error {
 		return s.hall(b.Name, func(h string) error { return s.Site.Lose(h, e.By != "") })
 	}),
-	"back": of(func(s *State, _ change.Ctx, _ *Entry, b *NameBody) error { return s.hall(b.Name, s.Site.Back) }),
-	"open": of(func(s *State, _ change.Ctx, _ *Entry, b *NameBody) error { return s.hall(b.Name, s.Site.Open) }).forbidden(freeze.Restrictions),
+	"back": of(func(s *State, _ change.Context, _ *Entry, b *NameBody) error { return s.hall(b.Name, s.Site.Back) }),
+	"open": of(func(s *State, _ change.Context, _ *Entry, b *NameBody) error { return s.hall(b.Name, s.Site.Open) }).forbidden(freeze.Restrictions),
 }
 
 // restrict declares a restriction. One that leaves no capacity is refused with figures; one that only loosens may be frozen.
-func restrict(s *State, c change.Ctx, e *Entry, b *RestrictBody) error {
+func restrict(s *State, c change.Context, e *Entry, b *RestrictBody) error {
 	r := b.Restriction
 	r.ID, r.By = c.Index, e.By
 	if err := r.Check(s.Names); err != nil {
@@ -169,7 +169,7 @@
 
 // thaw reports why a freeze forbids a change now; an exception for it is used up.
 func (s *State) thaw(k freeze.Kind, halls []string, e *Entry) error {
-	if !guard.On("freeze") {
+	if !safeguard.Enabled("freeze") {
 		return nil
 	}
 	return s.Freeze.Take(k, halls, e.Except, s.Clock())
--- a/internal/fleettest/alone_test.go
+++ b/internal/fleettest/alone_test.go
@@ -13,7 +13,7 @@
 	l := start(t, o)
 	tr := l.Start(mixed)
 	settled(t, l)
-	l.Divide([]int{0}, []int{1, 2, 3, 4, 5, 6})
+	l.Partition([]int{0}, []int{1, 2, 3, 4, 5, 6})
 	saying(t, l.Gateways[0], "no majority is heard")
 	if text, err := l.Gateways[0].Ask("drain by=anna"); err != nil || !strings.HasPrefix(text, "FAILURE it was not agreed") {
 		t.Errorf("a drain without a majority: %q, %v", text, err)
@@ -28,7 +28,7 @@
 	if second := asked(t, l.Gateways[4], "drain by=boris"); !strings.Contains(second, "waits: 1 of at most 1 gateways are out: gw1") {
 		t.Errorf("one that hears nothing does not count as out: %s", second)
 	}
-	l.Join()
+	l.Heal()
 	t.Log(saying(t, l.Gateways[3], "gw1 .*permit .* of anna, out: it burns"))
 	asked(t, l.Gateways[0], "resume")
 	if _, err := l.Gateways[4].Process().Await("drained by what was agreed", eventLimit); err != nil {
--- a/internal/fleettest/cut_test.go
+++ b/internal/fleettest/cut_test.go
@@ -49,7 +49,7 @@
 	l := start(t, lab.Options{Gateways: 5, Workers: 5, Halls: 2, Fleet: true, Paths: true})
 	tr := l.Start(mixed)
 	until(t, l.Gateways, func(*lab.Gateway) string { return knows(5) })
-	l.Divide([]int{0, 1, 2}, []int{3, 4})
+	l.Partition([]int{0, 1, 2}, []int{3, 4})
 	until(t, l.Gateways, func(g *lab.Gateway) string {
 		if g == l.Gateways[3] || g == l.Gateways[4] {
 			return knows(2)
@@ -70,7 +70,7 @@
 	if !tr.Served(200, eventLimit) {
 		t.Errorf("the parts do not serve: %+v", tr.Totals())
 	}
-	l.Join()
+	l.Heal()
 	until(t, l.Gateways, func(*lab.Gateway) string { return knows(5) })
 	until(t, l.Gateways, left(1))
 	w.Banned()
--- a/internal/fleettest/faults_test.go
+++ b/internal/fleettest/faults_test.go
@@ -65,11 +65,11 @@
 		from := s.rng.IntN(len(s.l.Gateways))
 		for to := range s.l.Gateways {
 			if to != from {
-				s.l.Between(from, to, lab.Fate{Cut: true})
+				s.l.Impair(from, to, lab.Impairment{Cut: true})
 			}
 		}
 		s.while()
-		s.l.Join()
+		s.l.Heal()
 	},
 	"flapping": func(s *storm) {
 		for range 3 {
@@ -80,16 +80,16 @@
 		for i := range s.l.Gateways {
 			for j := range s.l.Gateways {
 				if i != j {
-					s.l.Between(i, j, lab.Fate{Delay: time.Duration(s.rng.IntN(300)) * time.Millisecond, Drop: 0.2, Reorder: 0.2})
+					s.l.Impair(i, j, lab.Impairment{Delay: time.Duration(s.rng.IntN(300)) * time.Millisecond, Drop: 0.2, Reorder: 0.2})
 				}
 			}
 		}
 		s.while()
-		s.l.Join()
+		s.l.Heal()
 	},
 }
 
-func (s *storm) cut(parts ...[]int) { s.l.Divide(parts...); s.while(); s.l.Join() }
+func (s *storm) cut(parts ...[]int) { s.l.Partition(parts...); s.while(); s.l.Heal() }
 
 func (s *storm) stop(i int) { s.l.Gateways[i].Pause(); s.while(); s.l.Gateways[i].Resume() }
 
@@ -119,7 +119,7 @@
 
 // calm brings everything back, and has the release end.
 func (s *storm) calm() {
-	s.l.Join()
+	s.l.Heal()
 	late := time.After(eventLimit)
 	tick := time.NewTicker(300 * time.Millisecond)
 	defer tick.Stop()
@@ -186,7 +186,7 @@
 	t.Logf("plan: %s", strings.Join(plan, "; "))
 	asked(t, l.Gateways[5], "declare release name=two by=anna version=v2 prove_s=1 most_s=2 step_s=20")
 	for _, what := range plan {
-		l.Say("%s", what)
+		l.Logf("%s", what)
 		s.word()
 		s.word()
 		faults[what](s)
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -10,7 +10,7 @@
 
 	"quillrail/internal/app"
 	"quillrail/internal/fleet"
-	"quillrail/internal/fleet/guard"
+	"quillrail/internal/fleet/safeguard"
 	"quillrail/internal/lab"
 )
 
@@ -18,7 +18,7 @@
 func TestMain(m *testing.M) {
 	if os.Getenv("QUILLRAIL_TEST_PROCESS") != "" {
 		fleet.TrustAll = os.Getenv("QUILLRAIL_TEST_TRUST_ALL") != ""
-		guard.Off = os.Getenv("QUILLRAIL_TEST_GUARD")
+		safeguard.Disabled = os.Getenv("QUILLRAIL_TEST_GUARD")
 		versions()
 		app.Main()
 		return
--- a/internal/fleettest/freeze_test.go
+++ b/internal/fleettest/freeze_test.go
@@ -58,7 +58,7 @@
 			}
 		}
 	}
-	l.Divide([]int{6}, []int{0, 1, 2, 3, 4, 5})
+	l.Partition([]int{6}, []int{0, 1, 2, 3, 4, 5})
 	from := time.Now().UTC().Truncate(time.Second).Add(4 * time.Second)
 	to := from.Add(4 * time.Second)
 	feast := fmt.Sprintf("declare freeze name=feast by=anna kinds=config,releases zone=UTC from=%s to=%s", from.Format(layout), to.Format(layout))
@@ -102,7 +102,7 @@
 			all = append(all, configure(l.Gateways[i], n))
 		}
 	}
-	l.Join()
+	l.Heal()
 	last := map[*lab.Gateway]*lab.Taken{}
 	for _, x := range all {
 		last[x.Gateway] = x
--- a/internal/fleettest/pinned_test.go
+++ b/internal/fleettest/pinned_test.go
@@ -63,13 +63,13 @@
 		return l, tr, worth
 	}
 	worth[0] = tr.Worth(time.Now().Add(-2*time.Second), 2*time.Second, 1)
-	l.Divide([]int{3}, []int{0, 1, 2, 4, 5, 6}) // it keeps to the epoch that it knows
+	l.Partition([]int{3}, []int{0, 1, 2, 4, 5, 6}) // it keeps to the epoch that it knows
 	begun := time.Now()
 	hallDown(t, l, 0, true)
 	saying(t, l.Gateways[1], "down: hall1")
 	lost := time.Since(begun)
 	tr.Served(300, eventLimit)
-	l.Join()
+	l.Heal()
 	saying(t, l.Gateways[3], "down: hall1")
 	tr.Served(400, eventLimit)
 	worth[1] = tr.Worth(time.Now().Add(-2*time.Second), 2*time.Second, 1)
@@ -164,9 +164,9 @@
 	}
 	until(t, l.Gateways, func(*lab.Gateway) string { return "svc.fleet.agreed.restrictions:1|g" })
 	l.Confine(0, 1)
-	l.Divide([]int{0, 3, 4, 5, 6}, []int{1}, []int{2}) // the others have no majority
+	l.Partition([]int{0, 3, 4, 5, 6}, []int{1}, []int{2}) // the others have no majority
 	tr.Served(200, eventLimit)
-	l.Join()
+	l.Heal()
 	saying(t, l.Gateways[1], "as of [0-2]\\.")
 	asked(t, l.Gateways[4], "declare restriction name=near by=anna classes=command sites=hall1")
 	for _, g := range l.Gateways {
@@ -174,13 +174,13 @@
 	}
 	l.Confine(0)
 	tr.Served(300, eventLimit)
-	l.Divide([]int{5}, []int{0, 1, 2, 3, 4, 6})
+	l.Partition([]int{5}, []int{0, 1, 2, 3, 4, 6})
 	saying(t, l.Gateways[5], "no majority is heard")
 	asked(t, l.Gateways[0], "declare restriction name=near by=anna classes=command sites=hall1,hall3")
 	saying(t, l.Gateways[0], "then hall1 hall3 once all have heard")
 	tr.Served(300, eventLimit) // one has not: all keep to what was
 	l.Confine()
-	l.Join()
+	l.Heal()
 	for _, g := range l.Gateways {
 		saying(t, g, `command\] functions 0 at hall1 hall3\n`)
 	}
--- a/internal/lab/confine.go
+++ b/internal/lab/confine.go
@@ -46,7 +46,7 @@
 	}
 	l.mu.Unlock()
 	if bad {
-		l.Say("%s in hall %d gets %q for %s, which may not be there", w.Name(), w.Hall+1, body, path)
+		l.Logf("%s in hall %d gets %q for %s, which may not be there", w.Name(), w.Hall+1, body, path)
 	}
 }
 
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -82,7 +82,7 @@
 	}
 	g.ending.Store(0)
 	g.unwilling.Store(0)
-	g.lab.Say("%s takes calls at %s", g.Name, g.Addr)
+	g.lab.Logf("%s takes calls at %s", g.Name, g.Addr)
 	return nil
 }
 
@@ -100,7 +100,7 @@
 
 // Kill ends the process with SIGKILL and waits for its end.
 func (g *Gateway) Kill() {
-	g.lab.Say("%s is killed", g.Name)
+	g.lab.Logf("%s is killed", g.Name)
 	g.lab.count(func(c *Counts) { c.Kills++ })
 	g.unwilling.Store(time.Now().UnixNano())
 	g.lost.Store(time.Now().UnixNano())
@@ -109,14 +109,14 @@
 
 // Pause stops the process, which knows nothing of it; Resume lets it go on.
 func (g *Gateway) Pause() {
-	g.lab.Say("%s is paused", g.Name)
+	g.lab.Logf("%s is paused", g.Name)
 	g.unwilling.Store(time.Now().UnixNano())
 	g.Process().Signal(syscall.SIGSTOP)
 }
 
 // Resume has a process that was stopped go on.
 func (g *Gateway) Resume() {
-	g.lab.Say("%s goes on", g.Name)
+	g.lab.Logf("%s goes on", g.Name)
 	g.Process().Signal(syscall.SIGCONT)
 	g.lost.Store(time.Now().UnixNano())
 	g.unwilling.Store(0)
@@ -124,7 +124,7 @@
 
 // Terminate ends the process with SIGTERM and returns how it exited.
 func (g *Gateway) Terminate() error {
-	g.lab.Say("%s is asked to end", g.Name)
+	g.lab.Logf("%s is asked to end", g.Name)
 	g.ending.Store(time.Now().UnixNano())
 	return g.Process().End(syscall.SIGTERM)
 }
@@ -132,7 +132,7 @@
 // Upgrade starts a new process beside the old one and ends the old one once the new one takes calls.
 func (g *Gateway) Upgrade() error {
 	old := g.Process()
-	g.lab.Say("%s is upgraded", g.Name)
+	g.lab.Logf("%s is upgraded", g.Name)
 	if err := g.Start(); err != nil {
 		return err
 	}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -174,8 +174,8 @@
 	l.mu.Unlock()
 }
 
-// Say notes a line of what is done, with the time since the lab began.
-func (l *Lab) Say(format string, a ...any) {
+// Logf notes a line of what is done, with the time since the lab began.
+func (l *Lab) Logf(format string, a ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	fmt.Fprintf(l.Log, "%7.3fs %s\n", time.Since(l.begun).Seconds(), fmt.Sprintf(format, a...))
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -34,7 +34,7 @@
 	latency *hdrhistogram.Histogram // microseconds, from the intended start to a served answer
 	late    *hdrhistogram.Histogram // microseconds that clients began after they meant to
 	waits   []waiter
-	marks   []Mark
+	marks   []Milestone
 	begun   time.Time
 	bins    [][3]bin // of 0.1 s by when requests were due, by class
 	faults  []string // what clients met instead of an answer, the first few
@@ -78,7 +78,7 @@
 		if time.Since(mark) > 100*time.Millisecond {
 			mark = time.Now()
 			t.mu.Lock()
-			t.marks = append(t.marks, Mark{mark.Sub(begun), t.totals})
+			t.marks = append(t.marks, Milestone{mark.Sub(begun), t.totals})
 			t.mu.Unlock()
 		}
 		kind, fn := t.draw(rng)
--- a/internal/lab/path.go
+++ b/internal/lab/partition.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// Fate is what becomes of what one gateway says to another, in that direction alone. The zero value lets all pass.
-type Fate struct {
+// Impairment is what becomes of what one gateway says to another, in that direction alone. The zero value lets all pass.
+type Impairment struct {
 	Cut     bool          // nothing arrives: datagrams are lost, connections wait until the cut is over
 	Delay   time.Duration // all comes so much later
 	Drop    float64       // so large a part of the datagrams is lost
@@ -28,7 +28,7 @@
 	in   *net.UDPConn
 	out  *net.UDPConn
 	mu   sync.Mutex
-	fate Fate
+	fate Impairment
 	rng  *rand.Rand
 	kept []byte // one that comes after the next
 }
@@ -53,7 +53,7 @@
 	return d, nil
 }
 
-func (d *datagrams) set(f Fate) {
+func (d *datagrams) set(f Impairment) {
 	d.mu.Lock()
 	d.fate, d.kept = f, nil
 	d.mu.Unlock()
@@ -121,37 +121,37 @@
 	return nil
 }
 
-// Between gives what from says to to a fate; what to says to from is another question. Gateways count from 0.
-func (l *Lab) Between(from, to int, f Fate) {
+// Impair gives what from says to to a fate; what to says to from is another question. Gateways count from 0.
+func (l *Lab) Impair(from, to int, f Impairment) {
 	l.paths[from][to].udp.set(f)
 	fault := Fault{Hold: f.Cut, Delay: f.Delay}
 	l.paths[from][to].tcp.set(0, fault) // on connections that it has opened,
 	l.paths[to][from].tcp.set(1, fault) // and on those of the other
 }
 
-// Divide cuts the fleet into groups that don't hear each other; a gateway in none of them is alone.
-func (l *Lab) Divide(groups ...[]int) {
-	l.Say("the fleet is cut into %v", groups)
+// Partition cuts the fleet into groups that don't hear each other; a gateway in none of them is alone.
+func (l *Lab) Partition(groups ...[]int) {
+	l.Logf("the fleet is cut into %v", groups)
 	of := map[int]int{}
 	for k, g := range groups {
 		for _, i := range g {
 			of[i] = k + 1
 		}
 	}
-	l.all(func(i, j int) Fate { return Fate{Cut: i != j && (of[i] == 0 || of[i] != of[j])} })
+	l.all(func(i, j int) Impairment { return Impairment{Cut: i != j && (of[i] == 0 || of[i] != of[j])} })
 }
 
-// Join has all gateways hear each other again.
-func (l *Lab) Join() {
-	l.Say("all gateways hear each other")
-	l.all(func(int, int) Fate { return Fate{} })
+// Heal has all gateways hear each other again.
+func (l *Lab) Heal() {
+	l.Logf("all gateways hear each other")
+	l.all(func(int, int) Impairment { return Impairment{} })
 }
 
-func (l *Lab) all(f func(i, j int) Fate) {
+func (l *Lab) all(f func(i, j int) Impairment) {
 	for i := range l.Gateways {
 		for j := range l.Gateways {
 			if i != j {
-				l.Between(i, j, f(i, j))
+				l.Impair(i, j, f(i, j))
 			}
 		}
 	}
--- a/internal/lab/path_test.go
+++ b/internal/lab/path_test.go
@@ -55,7 +55,7 @@
 
 // Datagrams: a cut loses all, a drop its part, and of those that come in another order none is lost or doubled but the last.
 func TestDatagrams(t *testing.T) {
-	play := func(f Fate) (got []byte) {
+	play := func(f Impairment) (got []byte) {
 		d := &datagrams{rng: rand.New(rand.NewPCG(1, 1)), fate: f}
 		for i := range 100 {
 			for _, b := range d.take([]byte{byte(i)}) {
@@ -64,13 +64,13 @@
 		}
 		return got
 	}
-	if got := play(Fate{Cut: true}); len(got) > 0 {
+	if got := play(Impairment{Cut: true}); len(got) > 0 {
 		t.Errorf("%d datagrams pass a cut", len(got))
 	}
-	if n := len(play(Fate{Drop: 0.3})); n < 50 || n > 90 {
+	if n := len(play(Impairment{Drop: 0.3})); n < 50 || n > 90 {
 		t.Errorf("%d of 100 pass where 3 in 10 are lost", n)
 	}
-	got, seen, swapped := play(Fate{Reorder: 0.3}), map[byte]int{}, 0
+	got, seen, swapped := play(Impairment{Reorder: 0.3}), map[byte]int{}, 0
 	for i, b := range got {
 		seen[b]++
 		if i > 0 && b < got[i-1] {
--- a/internal/lab/power.go
+++ b/internal/lab/power.go
@@ -45,7 +45,7 @@
 
 // PowerLoss ends gateways and workers at once, as a loss of power does: nobody is told, and the machines boot anew.
 func (l *Lab) PowerLoss(gateways []*Gateway, workers []*Worker) {
-	l.Say("power is lost by %d gateways and %d workers", len(gateways), len(workers))
+	l.Logf("power is lost by %d gateways and %d workers", len(gateways), len(workers))
 	l.count(func(c *Counts) { c.Kills += len(gateways) })
 	for _, w := range workers {
 		w.stop(true)
@@ -64,7 +64,7 @@
 
 // PowerBack starts workers, empty and cold, and gateways. It does not wait for these to take calls.
 func (l *Lab) PowerBack(gateways []*Gateway, workers []*Worker) error {
-	l.Say("power is back for %d gateways and %d workers", len(gateways), len(workers))
+	l.Logf("power is back for %d gateways and %d workers", len(gateways), len(workers))
 	err := each(workers, (*Worker).Restart)
 	return errors.Join(err, each(gateways, func(g *Gateway) error {
 		err := g.begin()
@@ -76,7 +76,7 @@
 // Disk does something to the state that a gateway has on disk: keep (a copy to come back to), old (back to that copy),
 // empty, torn (cut at a byte), spoilt (bytes changed in the middle).
 func (g *Gateway) Disk(what string) error {
-	g.lab.Say("%s's disk: %s", g.Name, what)
+	g.lab.Logf("%s's disk: %s", g.Name, what)
 	path := filepath.Join(g.disk(), kept.File)
 	text, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/lab/serve.go
+++ b/internal/lab/serve.go
@@ -89,7 +89,7 @@
 	now := time.Now()
 	if !w.drained.IsZero() && now.Sub(w.drained) > drainGrace+50*time.Millisecond {
 		w.lab.count(func(c *Counts) { c.LateSends++ })
-		w.lab.Say("%s gets something %v after it was told that nothing comes", w.Name(), now.Sub(w.drained))
+		w.lab.Logf("%s gets something %v after it was told that nothing comes", w.Name(), now.Sub(w.drained))
 	}
 	if age := now.Sub(w.started); call && !w.started.IsZero() && age < w.lab.ColdFor && !w.fallen {
 		w.sends = append(w.sends, now)
--- a/internal/lab/tally.go
+++ b/internal/lab/totals.go
@@ -18,8 +18,8 @@
 	done   chan struct{}
 }
 
-// Mark is what has become of requests by a moment.
-type Mark struct {
+// Milestone is what has become of requests by a moment.
+type Milestone struct {
 	At time.Duration // since the traffic began
 	Totals
 }
@@ -119,7 +119,7 @@
 }
 
 // Marks returns the counts as they stood about every 0.1 s.
-func (t *Traffic) Marks() []Mark {
+func (t *Traffic) Marks() []Milestone {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.marks
--- a/internal/lab/version.go
+++ b/internal/lab/version.go
@@ -56,7 +56,7 @@
 	g.mu.Lock()
 	g.revision, g.listTold = revision, ln.Addr().String()
 	g.mu.Unlock()
-	g.lab.Say("%s gets configuration %s", g.Name, revision)
+	g.lab.Logf("%s gets configuration %s", g.Name, revision)
 	if err := g.lab.configure(g); err != nil {
 		return nil, err
 	}
@@ -96,14 +96,14 @@
 		case "version":
 			if words[1] != g.Version() {
 				if err := g.Become(words[1], what[words[1]]); err != nil {
-					g.lab.Say("%s does not become %s: %.200v", g.Name, words[1], err)
+					g.lab.Logf("%s does not become %s: %.200v", g.Name, words[1], err)
 					g.restore()
 				}
 			}
 		case "config":
 			if words[1] != g.Revision() {
 				if _, err := g.Configure(words[1]); err != nil {
-					g.lab.Say("%s is not configured: %v", g.Name, err)
+					g.lab.Logf("%s is not configured: %v", g.Name, err)
 				}
 			}
 		}
--- a/internal/lab/watch.go
+++ b/internal/lab/watch.go
@@ -85,7 +85,7 @@
 	w.times++
 	if w.most = max(w.most, n); n > w.limit {
 		w.broke++
-		w.lab.Say("%s goes out as number %d, %d at most: %+v", w.lab.Gateways[i].Name, n, w.limit, w.out)
+		w.lab.Logf("%s goes out as number %d, %d at most: %+v", w.lab.Gateways[i].Name, n, w.limit, w.out)
 	}
 }
 
--- a/internal/lab/worker.go
+++ b/internal/lab/worker.go
@@ -88,7 +88,7 @@
 }
 
 // Crash ends the worker at once; nobody is told.
-func (w *Worker) Crash() { w.lab.Say("%s crashes", w.Name()); w.stop(true) }
+func (w *Worker) Crash() { w.lab.Logf("%s crashes", w.Name()); w.stop(true) }
 
 // Restart starts a worker that was ended, empty and cold, and has the bulletin say so.
 func (w *Worker) Restart() error {
@@ -103,7 +103,7 @@
 	}
 	at := w.started
 	w.mu.Unlock()
-	w.lab.Say("%s is started anew", w.Name())
+	w.lab.Logf("%s is started anew", w.Name())
 	w.lab.tell(w, 0, at)
 	return nil
 }
@@ -113,7 +113,7 @@
 	w.mu.Lock()
 	w.drained = time.Now()
 	w.mu.Unlock()
-	w.lab.Say("%s drains", w.Name())
+	w.lab.Logf("%s drains", w.Name())
 	w.lab.tell(w, 1, time.Time{})
 }
 
@@ -123,5 +123,5 @@
 	w.mu.Lock()
 	w.drained, w.banned = time.Now(), true
 	w.mu.Unlock()
-	w.lab.Say("%s is left out by hand", w.Name())
+	w.lab.Logf("%s is left out by hand", w.Name())
 }
--- a/internal/lifecycle/fleet.go
+++ b/internal/lifecycle/fleet.go
@@ -116,8 +116,8 @@
 // Hold leaves workers alone that others know to drain.
 func (p *peers) Hold(ids map[string]bool) { p.core.Hold(ids) }
 
-// Vouch has cold workers judged by the rate that was served before, and bounds the loads under way.
-func (p *peers) Vouch(perSec float64, loads int) { p.core.Vouch(perSec, loads) }
+// AssumeRate has cold workers judged by the rate that was served before, and bounds the loads under way.
+func (p *peers) AssumeRate(perSec float64, loads int) { p.core.AssumeRate(perSec, loads) }
 
 // gate is what fronts give their calls to in a fleet: while the gateway comes back not all are admitted, and some may run at
 // stated sites alone.
