--- a/internal/lab/line.go
+++ b/internal/lab/line.go
@@ -16,28 +16,21 @@
 // frontNotices is how long after a gateway was asked to end new connections still come to it.
 const frontNotices = 300 * time.Millisecond
 
+// frontEvery is how often the front asks each gateway.
+const frontEvery = 50 * time.Millisecond
+
 // front looks whether gateways take clients, as whatever stands before a fleet does.
 func (t *Traffic) front(g *Gateway) {
 	defer t.wg.Done()
-	client := &http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-	for tick := time.NewTicker(50 * time.Millisecond); ; {
-		select {
-		case <-t.stop:
-			tick.Stop()
-			return
-		case <-tick.C:
-		}
-		resp, err := client.Get("http://" + g.Addr + "/check")
-		if err != nil {
-			continue // whether it is there is seen by those who call
-		}
-		resp.Body.Close()
-		if resp.StatusCode == 200 {
+	poll(g, frontEvery, t.stop, func(status int) {
+		switch status {
+		case 0: // whether it is there is seen by those who call
+		case http.StatusOK:
 			g.unready.Store(0)
-		} else {
+		default:
 			g.unready.CompareAndSwap(0, time.Now().UnixNano())
 		}
-	}
+	})
 }
 
 // offered reports whether new connections still come to the gateway: the front before the fleet sees that it was asked to end.
--- a/internal/lab/watch.go
+++ b/internal/lab/watch.go
@@ -43,25 +43,10 @@
 
 func (w *Watch) look(i int, g *Gateway) {
 	defer w.wg.Done()
-	client := &http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-	for tick := time.NewTicker(watchEvery); ; {
-		select {
-		case <-w.over:
-			tick.Stop()
-			return
-		case <-tick.C:
-		}
-		resp, err := client.Get("http://" + g.Addr + "/check")
-		now := state{out: err != nil || resp.StatusCode != 200}
-		if err == nil {
-			resp.Body.Close()
-		}
-		if g.changing.Load() { // a process beside it takes over
-			now.out = true
-		}
-		now.purpose = now.out && g.unwilling.Load() == 0
-		w.see(i, now)
-	}
+	poll(g, watchEvery, w.over, func(status int) {
+		out := status != http.StatusOK || g.changing.Load() // changing: a process beside it takes over
+		w.see(i, state{out: out, purpose: out && g.unwilling.Load() == 0})
+	})
 }
 
 // see takes how a gateway is now. One that goes out on purpose is one too many if with it more are out than may be.
