--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"reflect"
 	"strings"
 )
 
@@ -31,11 +32,29 @@
 	err := json.Unmarshal(text, b)
 	var wrong *json.UnmarshalTypeError
 	if errors.As(err, &wrong) {
-		return nil, &FieldError{wrong.Field, lastValue(string(text[:wrong.Offset])), "a " + wrong.Type.String()}
+		return nil, &FieldError{wrong.Field, lastValue(string(text[:wrong.Offset])), kindOf(wrong.Type)}
 	}
 	return b, err
 }
 
+// kindOf words what a setting of this type is.
+func kindOf(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Float64:
+		return "a number"
+	case reflect.Int:
+		return "a whole number"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.String:
+		return "a text"
+	case reflect.Slice:
+		return "a list"
+	default:
+		return "an object"
+	}
+}
+
 // lastValue is the JSON value that a text ends with, or what is left of a list or an object that begins there.
 func lastValue(text string) string {
 	if body, quoted := strings.CutSuffix(text, `"`); quoted {
