--- a/cmd/quillrail-lab/run.go
+++ b/cmd/quillrail-lab/run.go
@@ -63,7 +63,7 @@
 	Counts   lab.Counts         `json:"counts"`
 	Latency  map[string]float64 `json:"latency_ms"`
 	Lateness float64            `json:"clients_late_p99_ms"`
-	Marks    []lab.Milestone         `json:"marks"`
+	Marks    []lab.Milestone    `json:"marks"`
 }
 
 func run(_ context.Context, c *cli.Command) error {
