Tell an unwritten call from an order of the same ref, and make one of what stood twice

Cause, found by reading the whole change once more: conn.fail marked unwritten messages by ref alone, and attempts and orders have refs of their own tables; an order behind an unwritten call of the same number made it end as reset, which may have run, and a keyed or unsafe one failed for nothing (workerlink/conn.go, fail).

Change: only calls are marked. conn.forget serves the four places that dropped an attempt from what is open; goFiles serves the two tests that walked the project's files.

Measured: TestUnwrittenCallBesideAnOrderOfTheSameRef fails with the old line; the wire's, core's, lifecycle's and app's tests pass with the race detector; a planted file without comments and one of 262 lines still fail the structure tests.

--- a/internal/app/structure_test.go
+++ b/internal/app/structure_test.go
@@ -13,22 +13,15 @@
 
 const root = "../.."
 
-// sources calls f with each Go file of the program that is not a test, by its slash-separated path from the root.
-func sources(t *testing.T, f func(path string, file *ast.File, fset *token.FileSet)) {
+// goFiles calls f with each Go file of the project, tests among them.
+func goFiles(t *testing.T, f func(path string) error) {
 	t.Helper()
-	fset := token.NewFileSet()
 	for _, top := range []string{"cmd", "decide", "internal", "tools"} {
 		err := filepath.WalkDir(filepath.Join(root, top), func(path string, entry fs.DirEntry, err error) error {
-			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-				return err
-			}
-			file, err := parser.ParseFile(fset, path, nil, parser.ParseComments)
-			if err != nil {
+			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") {
 				return err
 			}
-			relative, err := filepath.Rel(root, path)
-			f(filepath.ToSlash(relative), file, fset)
-			return err
+			return f(path)
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -36,6 +29,24 @@
 	}
 }
 
+// sources calls f with each Go file of the program that is not a test, by its slash-separated path from the root.
+func sources(t *testing.T, f func(path string, file *ast.File, fset *token.FileSet)) {
+	t.Helper()
+	fset := token.NewFileSet()
+	goFiles(t, func(path string) error {
+		if strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		file, err := parser.ParseFile(fset, path, nil, parser.ParseComments)
+		if err != nil {
+			return err
+		}
+		relative, err := filepath.Rel(root, path)
+		f(filepath.ToSlash(relative), file, fset)
+		return err
+	})
+}
+
 // Every package and every exported item has a doc comment.
 func TestDocComments(t *testing.T) {
 	packages := map[string]bool{}
@@ -112,21 +123,13 @@
 
 // No Go file, a test or not, is longer than can be read in one go.
 func TestFilesAreShort(t *testing.T) {
-	for _, top := range []string{"cmd", "decide", "internal", "tools"} {
-		err := filepath.WalkDir(filepath.Join(root, top), func(path string, entry fs.DirEntry, err error) error {
-			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") {
-				return err
-			}
-			text, err := os.ReadFile(path)
-			if lines := strings.Count(string(text), "\n"); lines > mostLines {
-				t.Errorf("%s has %d lines, %d at most", path, lines, mostLines)
-			}
-			return err
-		})
-		if err != nil {
-			t.Fatal(err)
+	goFiles(t, func(path string) error {
+		text, err := os.ReadFile(path)
+		if lines := strings.Count(string(text), "\n"); lines > mostLines {
+			t.Errorf("%s has %d lines, %d at most", path, lines, mostLines)
 		}
-	}
+		return err
+	})
 }
 
 // layers are the packages by what they may import of the program: those before them, and of their own layer.
--- a/internal/wire/workerlink/answer.go
+++ b/internal/wire/workerlink/answer.go
@@ -72,8 +72,7 @@
 		return
 	}
 	if ref, ok := c.open[a.ID]; ok {
-		delete(c.open, a.ID)
-		delete(c.sent, ref)
+		c.forget(a.ID, ref)
 		c.retire(a.ID)
 		c.rest()
 		c.p.ends.Ended(ref, core.End{How: how, Note: note, Body: a.Body, Report: c.p.set.Report(a.Use, ";")})
--- a/internal/wire/workerlink/conn.go
+++ b/internal/wire/workerlink/conn.go
@@ -152,8 +152,7 @@
 			c.p.ends.Loaded(m.ref, decide.Nop, 0)
 			continue
 		}
-		delete(c.open, m.id)
-		delete(c.sent, m.ref)
+		c.forget(m.id, m.ref)
 		c.p.ends.Ended(m.ref, core.End{How: decide.Nop})
 	}
 	if len(taken) > 0 {
@@ -161,10 +160,15 @@
 	}
 }
 
-// drop forgets an attempt that was never written.
-func (c *conn) drop(id string, ref core.Ref) {
+// forget drops an attempt from what is open.
+func (c *conn) forget(id string, ref core.Ref) {
 	delete(c.open, id)
 	delete(c.sent, ref)
+}
+
+// drop forgets an attempt that was never written.
+func (c *conn) drop(id string, ref core.Ref) {
+	c.forget(id, ref)
 	c.rest()
 }
 
@@ -175,8 +179,7 @@
 		return
 	}
 	at := c.sent[ref]
-	delete(c.open, id)
-	delete(c.sent, ref)
+	c.forget(id, ref)
 	c.retire(id)
 	c.quiet = c.quiet || c.heard < at && c.p.loop.Now()-at >= stallLimit
 	c.busy()
@@ -207,7 +210,9 @@
 	}
 	unwritten := map[core.Ref]bool{}
 	for _, m := range c.out.messages {
-		unwritten[m.ref] = m.kind == callMessage
+		if m.kind == callMessage { // orders have refs of their own, which may be the same numbers
+			unwritten[m.ref] = true
+		}
 	}
 	for _, ref := range slices.Sorted(maps.Values(c.open)) {
 		end := core.End{How: how}
--- a/internal/wire/workerlink/unwritten_test.go
+++ b/internal/wire/workerlink/unwritten_test.go
@@ -102,3 +102,15 @@
 		t.Errorf("sent %q", got)
 	}
 }
+
+// A call that is unwritten when its connection ends has not run, also beside an order whose ref is the same number.
+func TestUnwrittenCallBesideAnOrderOfTheSameRef(t *testing.T) {
+	r := newRig(t)
+	written := r.send("wa", "")
+	a, _ := call(90, "wa", "second")
+	r.pool.Send(a)
+	r.pool.Load(90, "wa", "00000000000000ff", 1)
+	r.pool.List(false, []core.Member{member("wa", "a:1", decide.Ready, 1)}) // started anew: its connections are closed
+	r.want(90, decide.NoConn)
+	r.want(written, decide.Reset)
+}
