Measure routers and the control of large fleets with hollow gateways, as quillrail-lab scale

Need: the design has to carry 1,200 gateways and 81,000 workers, and nothing measured it above 300 simulated ones.

Change: internal/lab/scale starts three real gateways that serve calls and hold the log, and many hollow ones in one process that hold the real packages for membership, log and reports, in 15 zones of 6 regions with delays and partitions between them (member.Network, asked for each datagram and connection). It counts processor time, memory, bytes, the time until a change of configuration is in force, wrong suspicions and lost messages, and says where the machine set the bound. Transports count their bytes (show-stat: fleet.sent_bytes, fleet.received_bytes). change.State.missing read all things of the log for each entry at each gateway, and each entry named all witnesses; both are bounded now (apply.go, drive.go): with 297 hollow gateways that was 8 % of the processor time.

Tests: TestScaleSmall (20 gateways, a restart, a lost zone, a region cut off; counts and bounds, 22 s).

--- a/cmd/quillrail-lab/main.go
+++ b/cmd/quillrail-lab/main.go
@@ -42,6 +42,7 @@
 				},
 				Action: up,
 			},
+			scaleCommand(program),
 			{
 				Name:      "run",
 				Usage:     "play an experiment and write its figures as a table, JSON and SVG",
--- a/internal/fleet/change/apply.go
+++ b/internal/fleet/change/apply.go
@@ -188,6 +188,9 @@
 		if t.Kind() == Gateway && t != x.Thing {
 			others++
 		}
+		if others >= witnesses { // that there are more changes nothing: each entry is applied at every gateway
+			break
+		}
 	}
 	for _, w := range x.Witnesses {
 		if Of(Gateway, w) != x.Thing {
--- a/internal/fleet/change/drive.go
+++ b/internal/fleet/change/drive.go
@@ -105,7 +105,7 @@
 		}
 		k, sight := s.Things[t], v.Things[t]
 		x := Seen{Thing: t, Known: Known{Hall: sight.Hall, Health: sight.Health, Life: sight.Life, Version: sight.Version, Config: sight.Config},
-			Witnesses: sight.Witnesses}
+			Witnesses: sight.Witnesses[:min(len(sight.Witnesses), witnessesNamed)]}
 		if k == nil {
 			if x.Health != Well || s.missing(x) == 0 {
 				out = append(out, x)
--- a/internal/fleet/change/permit.go
+++ b/internal/fleet/change/permit.go
@@ -39,11 +39,12 @@
 }
 
 const (
-	maxPermits = 1024
-	maxThings  = 512 // of a permit
-	maxPassed  = 8   // a permit that waits for its hall is passed so often at most
-	maxEnded   = 64  // that are remembered to be shown
-	witnesses  = 2   // gateways that have to see a thing well, where there are as many
+	maxPermits     = 1024
+	maxThings      = 512 // of a permit
+	maxPassed      = 8   // a permit that waits for its hall is passed so often at most
+	maxEnded       = 64  // that are remembered to be shown
+	witnesses      = 2   // gateways that have to see a thing well, where there are as many
+	witnessesNamed = 4   // of them in an entry, so that its size does not follow from the fleet's
 )
 
 // Ended is a permit that has ended, and how.
--- a/internal/fleet/member/transport.go
+++ b/internal/fleet/member/transport.go
@@ -36,6 +36,8 @@
 	Seeds []string          // host:port of gateways to begin with; this one's own may be among them
 	Via   map[string]string // where gateways are reached that are not at the address they name: that address, the other one
 	Self  Metadata
+
+	Network Network // nil for the machine's own
 }
 
 // Handler is told what comes in, on the transport's goroutines; it must not block. Word is asked for what to tell a gateway
@@ -54,6 +56,7 @@
 	list  *memberlist.Memberlist
 	queue *memberlist.TransmitLimitedQueue
 	links *link.Net
+	wires *wires
 	addrs sync.Map // by name, the place of every gateway that was ever heard of: memberlist changes its own nodes as it goes
 	h     Handler
 	log   *zap.Logger
@@ -90,10 +93,10 @@
 	var w *wires
 	hello := link.Hello{Fleet: o.Fleet, Name: o.Self.Name, Life: o.Self.Life.N, Major: Major, Minor: Minor}
 	t.links = link.New(hello, func(addr string, limit time.Duration) (net.Conn, error) {
-		return net.DialTimeout("tcp", w.at(addr), limit)
+		return w.dial(addr, limit)
 	}, h.Message)
-	w = newWires(inner, o.Via, t.accept)
-	c.Transport = w
+	w = newWires(inner, net.ParseIP(host), o, t.accept)
+	c.Transport, t.wires = w, w
 	c.TCPTimeout, c.ProbeTimeout, c.ProbeInterval = 500*time.Millisecond, 300*time.Millisecond, 700*time.Millisecond
 	c.SuspicionMult, c.SuspicionMaxTimeoutMult = 3, 2
 	c.GossipInterval, c.PushPullInterval, c.GossipToTheDeadTime = 100*time.Millisecond, 10*time.Second, 10*time.Second
--- a/internal/fleet/member/wires.go
+++ b/internal/fleet/member/wires.go
@@ -23,11 +23,18 @@
 	stream chan net.Conn
 	links  func(net.Conn)
 	stop   chan struct{}
+
+	host    net.IP  // that is bound
+	network Network // nil for the machine's own
+	packets chan *memberlist.Packet
+	traffic traffic
 }
 
-func newWires(inner *memberlist.NetTransport, via map[string]string, links func(net.Conn)) *wires {
-	w := &wires{NetTransport: inner, via: via, stream: make(chan net.Conn, waiting), links: links, stop: make(chan struct{})}
+func newWires(inner *memberlist.NetTransport, host net.IP, o Options, links func(net.Conn)) *wires {
+	w := &wires{NetTransport: inner, host: host, via: o.Via, network: o.Network, stream: make(chan net.Conn, waiting), links: links,
+		stop: make(chan struct{}), packets: make(chan *memberlist.Packet)}
 	go w.sort()
+	go w.receivePackets()
 	return w
 }
 
@@ -37,6 +44,7 @@
 		select {
 		case c := <-w.NetTransport.StreamCh():
 			go func() {
+				c := &counted{c, w}
 				p := &peeked{Conn: c, r: bufio.NewReader(c)}
 				c.SetReadDeadline(time.Now().Add(firstByte))
 				b, err := p.r.Peek(1)
@@ -78,22 +86,21 @@
 
 // What memberlist asks of a transport.
 
-func (w *wires) StreamCh() <-chan net.Conn { return w.stream }
+func (w *wires) StreamCh() <-chan net.Conn           { return w.stream }
+func (w *wires) PacketCh() <-chan *memberlist.Packet { return w.packets }
 func (w *wires) WriteTo(b []byte, addr string) (time.Time, error) {
-	return w.NetTransport.WriteTo(b, w.at(addr))
+	return w.writeTo(b, addr)
 }
 func (w *wires) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
-	return w.NetTransport.WriteTo(b, w.at(a.Addr))
+	return w.writeTo(b, a.Addr)
 }
 func (w *wires) DialTimeout(addr string, limit time.Duration) (net.Conn, error) {
-	return w.NetTransport.DialTimeout(w.at(addr), limit)
+	return w.dial(addr, limit)
 }
 func (w *wires) DialAddressTimeout(a memberlist.Address, limit time.Duration) (net.Conn, error) {
-	return w.NetTransport.DialTimeout(w.at(a.Addr), limit)
+	return w.dial(a.Addr, limit)
 }
 func (w *wires) Shutdown() error {
 	close(w.stop)
 	return w.NetTransport.Shutdown()
 }
-
-var _ memberlist.NodeAwareTransport = (*wires)(nil)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -47,8 +47,12 @@
 	savedAt time.Duration
 	word    atomic.Pointer[[]byte]
 	late    int // pieces of news that were not told for want of room
+	network member.Network
 }
 
+// Between has the node reach the others by a network other than the machine's own. It is called before Start.
+func (n *Node) Between(network member.Network) { n.network = network }
+
 // New returns a node that has not started. name and hall are the gateway's.
 func New(loop *core.Loop, set *Settings, name string, hall int, log *zap.Logger) *Node {
 	return &Node{loop: loop, set: set, name: name, hall: hall, log: log, boot: bootOf(set.BootID)}
@@ -115,7 +119,7 @@
 	}
 	n.found = nil
 	n.post()
-	o := member.Options{Fleet: n.set.Fleet, Bind: n.set.Bind, Seeds: n.set.Seeds, Via: n.set.Via, Self: self}
+	o := member.Options{Fleet: n.set.Fleet, Bind: n.set.Bind, Seeds: n.set.Seeds, Via: n.set.Via, Self: self, Network: n.network}
 	go func() {
 		t, err := member.Open(o, (*receiver)(n), n.log)
 		if err != nil {
--- a/internal/fleet/receiver.go
+++ b/internal/fleet/receiver.go
@@ -140,6 +140,9 @@
 		l := n.net.Links()
 		untold += int(n.net.Lost() + l.Lost)
 		show("links", l.Peers)
+		bytes := n.net.Traffic()
+		show("sent_bytes", int(bytes.Sent))
+		show("received_bytes", int(bytes.Received))
 	}
 	show("gateways", alive)
 	show("untold", untold)
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -61,6 +61,9 @@
 // Link is the relay between the gateway and a worker.
 func (g *Gateway) Link(worker int) *Relay { return g.links[worker] }
 
+// Peer is where other gateways reach it.
+func (g *Gateway) Peer() string { return g.peer }
+
 // Process is the process that was started last, nil if none was.
 func (g *Gateway) Process() *Process {
 	g.mu.Lock()
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -165,5 +165,8 @@
 	}
 }
 
+// PID is the process's number.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Operator is where the process hears operators.
 func (p *Process) Operator() string { return p.operator }
