--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -45,8 +45,14 @@
 	lost    atomic.Int64  // messages that found no room
 	bytes   [2]atomic.Int64
 	running atomic.Bool
+
+	peers   *fleet.Host // of the part; changed says that what it knows of the others has changed
+	changed bool
+	ticks   int
 }
 
+const figureTicks = 10 // the node's figures are read each so many ticks
+
 // newHollow makes a gateway; begin starts it.
 func newHollow(r *run, n int) *hollow {
 	h := &hollow{name: fmt.Sprintf("hollow%04d", n), host: hostName(n), run: r}
@@ -77,7 +83,7 @@
 			Version: "v1", Config: "r1"})
 		return h.agent
 	})
-	h.node.Add(func(*fleet.Host) fleet.Part { return h })
+	h.node.Add(func(host *fleet.Host) fleet.Part { h.peers, h.changed = host, true; return h })
 	ctx, cancel := context.WithCancel(context.Background())
 	h.end = cancel
 	h.loop.Post(h.node.Start)
@@ -109,10 +115,15 @@
 	if st := h.agent.State(); st != nil {
 		h.applied.Store(st.Index)
 	}
+	if h.changed && h.peers.View() != nil {
+		h.changed = false
+		h.alive.Store(int64(h.peers.View().Alive()))
+	}
+	if h.ticks++; h.ticks%figureTicks != 0 {
+		return
+	}
 	h.node.Figures(func(name string, value int) {
 		switch name {
-		case "gateways":
-			h.alive.Store(int64(value))
 		case "untold":
 			h.lost.Store(int64(value))
 		case "sent_bytes":
@@ -125,6 +136,7 @@
 
 // Saw counts suspicions of gateways that are there.
 func (h *hollow) Saw(e member.Event, what member.Transition) {
+	h.changed = true
 	if what == member.Changed && e.State >= member.Suspected && e.State != member.Left && h.run.isThere(e.Card.Name) {
 		h.run.wrong.Add(1)
 	}
--- a/internal/wire/workerlink/pool.go
+++ b/internal/wire/workerlink/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,12 +28,14 @@
 	ends  core.Ends
 	log   *zap.Logger
 	hosts map[string]*host
+	at    map[string]*host // by address: the first of those that have it, linked by next
+	gone  []*host          // that may be dropped once they have no connection
 	conns *core.Table[*conn]
 }
 
 // New returns a pool of at most limit connections.
 func New(loop *core.Loop, net sock.Dialer, set *settings.Site, limit int, log *zap.Logger) *Pool {
-	return &Pool{loop: loop, net: net, set: set, log: log, hosts: map[string]*host{}, conns: core.NewTable[*conn](limit)}
+	return &Pool{loop: loop, net: net, set: set, log: log, hosts: map[string]*host{}, at: map[string]*host{}, conns: core.NewTable[*conn](limit)}
 }
 
 // Limit changes how many connections are held at most.
@@ -50,42 +53,81 @@
 	since      time.Duration
 	gone       bool
 	conns      []*conn
+	next       *host // with the same address
 }
 
 // List takes the workers' addresses. A worker that restarted or moved, or whose address another one has taken,
-// has its connections closed: nothing that is still said on them may count for the new one.
+// has its connections closed: nothing that is still said on them may count for the new one. The work follows from what is told,
+// not from the length of the list.
 func (p *Pool) List(whole bool, members []core.Member) {
 	if whole {
 		for _, h := range p.hosts {
-			h.gone = true
+			p.depart(h)
 		}
 	}
 	for _, m := range members {
 		p.listed(m)
 	}
-	for name, h := range p.hosts {
-		if h.gone && len(h.conns) == 0 {
-			delete(p.hosts, name)
+	p.gone = slices.DeleteFunc(p.gone, func(h *host) bool {
+		if h.gone && len(h.conns) == 0 && p.hosts[h.name] == h {
+			delete(p.hosts, h.name)
+			p.leave(h)
 		}
-	}
+		return !h.gone || p.hosts[h.name] != h
+	})
 }
 
 func (p *Pool) listed(m core.Member) {
 	h := p.hosts[m.Name]
 	if h == nil {
-		h = &host{name: m.Name}
+		h = &host{name: m.Name, addr: m.Addr}
 		p.hosts[m.Name] = h
+		p.settle(h)
 	} else if h.addr != m.Addr || m.Since > h.since {
 		h.closeAll(errors.New("worker was started anew"))
 	}
-	if h.gone = m.State == decide.Gone; !h.gone {
-		for _, o := range p.hosts {
-			if o != h && o.addr == m.Addr {
+	if h.addr != m.Addr {
+		p.leave(h)
+		h.addr = m.Addr
+		p.settle(h)
+	}
+	if m.State == decide.Gone {
+		p.depart(h)
+	} else {
+		h.gone = false
+		for o := p.at[m.Addr]; o != nil; o = o.next {
+			if o != h {
 				o.closeAll(errors.New("address was given to another worker"))
 			}
 		}
 	}
-	h.addr, h.since = m.Addr, m.Since
+	h.since = m.Since
+}
+
+// depart notes that a worker is listed no more.
+func (p *Pool) depart(h *host) {
+	if !h.gone {
+		h.gone, p.gone = true, append(p.gone, h)
+	}
+}
+
+// settle notes a worker under its address, and leave takes it out there.
+func (p *Pool) settle(h *host) { h.next, p.at[h.addr] = p.at[h.addr], h }
+
+func (p *Pool) leave(h *host) {
+	before := p.at[h.addr]
+	switch {
+	case before == h && h.next == nil:
+		delete(p.at, h.addr)
+	case before == h:
+		p.at[h.addr] = h.next
+	default:
+		for before.next != h {
+			before = before.next
+		}
+		before.next = h.next
+	}
+	h.next = nil
 }
 
 func (h *host) closeAll(why error) {
