--- a/internal/fleet/admit.go
+++ b/internal/fleet/admit.go
@@ -14,12 +14,12 @@
 
 // open begins to admit clients.
 func (c *Recovery) open() {
-	gateways := c.h.View().Alive()
+	gateways := c.host.View().Alive()
 	if c.saved != nil {
 		gateways = max(gateways, c.saved.Alive)
 	}
 	c.admit = recover.NewAdmission(recover.Share{Worth: c.rank, Former: c.former, Loads: c.set.Loads, Gateways: gateways},
-		c.bear(), c.h.Now())
+		c.bear(), c.host.Now())
 	for fn := range c.agreed.Stands {
 		c.admit.Stands(fn)
 	}
@@ -31,7 +31,7 @@
 			}
 		}
 	}
-	c.h.Become(member.Serving)
+	c.host.Become(member.Serving)
 	if c.serves || TrustAll {
 		c.admit = nil
 		c.pass(recover.Admitting, "")
@@ -40,7 +40,7 @@
 	if c.admit == nil {
 		return
 	}
-	c.h.Log().Info("clients are admitted", zap.Float64("calls_per_s", c.admit.Rate()), zap.Int("first_loads", c.admit.Slots()),
+	c.host.Log().Info("clients are admitted", zap.Float64("calls_per_s", c.admit.Rate()), zap.Int("first_loads", c.admit.Slots()),
 		zap.Int("gateways", gateways))
 }
 
@@ -64,7 +64,7 @@
 	sum := 0.0
 	for _, m := range c.members {
 		share := 1.0
-		if age := c.h.Now() - m.Since; m.Since > 0 && age < c.set.ColdFor {
+		if age := c.host.Now() - m.Since; m.Since > 0 && age < c.set.ColdFor {
 			share = c.set.ColdFrom + (1-c.set.ColdFrom)*max(0, age.Seconds())/c.set.ColdFor.Seconds()
 		}
 		sum += share
@@ -77,7 +77,7 @@
 	if c.admit == nil || c.course.Phase() == recover.Full {
 		return true, 0
 	}
-	return c.admit.Admit(c.h.Now(), class, function), refusal
+	return c.admit.Admit(c.host.Now(), class, function), refusal
 }
 
 // Observe takes the end of a call.
--- a/internal/fleet/agreement/agent.go
+++ b/internal/fleet/agreement/agent.go
@@ -57,10 +57,10 @@
 // Agent is the part. It belongs to the turn.
 type Agent struct {
 	fleet.Base
-	h   *fleet.Host
-	gw  Gateway
-	o   Options
-	log *zap.Logger
+	host *fleet.Host
+	gw   Gateway
+	o    Options
+	log  *zap.Logger
 
 	id      uint64 // of the disk
 	lives   map[string]incarnations
@@ -101,7 +101,7 @@
 
 // New returns the part.
 func New(h *fleet.Host, gw Gateway, o Options) *Agent {
-	a := &Agent{h: h, gw: gw, o: o, log: h.Log().Named("agreed"), lives: map[string]incarnations{}, open: map[uint64]*proposal{}, follows: map[string]*follower{},
+	a := &Agent{host: h, gw: gw, o: o, log: h.Log().Named("agreed"), lives: map[string]incarnations{}, open: map[uint64]*proposal{}, follows: map[string]*follower{},
 		known: map[string]answer{}}
 	a.copy = replog.NewFollower(nil, a.applied)
 	a.sight = newSight()
@@ -114,7 +114,7 @@
 
 // Begin takes what is on disk.
 func (a *Agent) Begin(b []byte, late bool) {
-	a.begun = a.h.Now()
+	a.begun = a.host.Now()
 	var s saved
 	if b != nil && msgpack.Unmarshal(b, &s) == nil && len(s.Lives) <= maxLives {
 		a.id = s.ID
@@ -127,14 +127,14 @@
 			}
 		}
 	}
-	if a.mine = diskOf(a.h.Found()); a.mine != nil {
+	if a.mine = diskOf(a.host.Found()); a.mine != nil {
 		a.id = a.mine.ID
 		for i := range a.mine.Entries {
 			a.span(i)
 		}
 	}
 	if a.id == 0 {
-		a.id = a.h.Life().Tag | 1<<63 // drawn at random: another disk is another voter
+		a.id = a.host.Life().Tag | 1<<63 // drawn at random: another disk is another voter
 	}
 	if a.mine != nil {
 		g, err := replog.Open(a.o.Name, *a.mine, func(replog.Applied) {})
@@ -142,7 +142,7 @@
 			a.log.Error("the log on disk is not used: this gateway gives its vote up", zap.Error(err))
 			a.forfeit()
 		} else {
-			a.claim = replog.NewEligibility(a.o.Name, a.h.Life().N, g.State().Voters)
+			a.claim = replog.NewEligibility(a.o.Name, a.host.Life().N, g.State().Voters)
 			if b, err := g.State().Encode(); err == nil && g.State().Index > a.copy.After() {
 				a.copy.Replace(b)
 			}
@@ -169,12 +169,12 @@
 			a.log.Warn("what the process before knew of what is agreed is not used", zap.Error(err))
 			return
 		}
-		a.caught, a.heard = true, a.h.Now() // it was known a moment ago
+		a.caught, a.heard = true, a.host.Now() // it was known a moment ago
 	}
 }
 
 // Age is how long ago what is known was known to be current; false if it never was in this process.
-func (a *Agent) Age() (time.Duration, bool) { return a.h.Now() - a.heard, a.caught }
+func (a *Agent) Age() (time.Duration, bool) { return a.host.Now() - a.heard, a.caught }
 
 // Configured notes that this gateway goes by another configuration from now on.
 func (a *Agent) Configured(id string) { a.o.Config = id }
@@ -184,12 +184,12 @@
 
 // current notes that what is known was current so long ago.
 func (a *Agent) current(age time.Duration) {
-	if at := a.h.Now() - age; at > a.heard || !a.caught {
+	if at := a.host.Now() - age; at > a.heard || !a.caught {
 		a.heard = at
 	}
 	if !a.caught {
 		a.caught = true
-		a.log.Info("what is agreed is known", zap.Uint64("entry", a.State().Index), zap.Duration("after", a.h.Now()-a.begun))
+		a.log.Info("what is agreed is known", zap.Uint64("entry", a.State().Index), zap.Duration("after", a.host.Now()-a.begun))
 	}
 }
 
@@ -222,8 +222,8 @@
 	}
 }
 
-// Saw takes what has become of another gateway.
-func (a *Agent) Saw(e member.Event, what member.Transition) {
+// MemberChanged takes what has become of another gateway.
+func (a *Agent) MemberChanged(e member.Event, what member.Transition) {
 	a.lived(e.Card.Name, e.Card.Life)
 }
 
--- a/internal/fleet/agreement/declare.go
+++ b/internal/fleet/agreement/declare.go
@@ -54,7 +54,7 @@
 	},
 	"exception": func(a *Agent, w *arguments) (string, any, error) {
 		return "except", replog.ExceptBody{Exception: freeze.Exception{Period: w.text("freeze"), What: w.text("for"), Why: w.text("why"),
-			Until: a.h.Now().Milliseconds() + int64(1000*w.number("for_s", 3600))}}, nil
+			Until: a.host.Now().Milliseconds() + int64(1000*w.number("for_s", 3600))}}, nil
 	},
 	"take": func(a *Agent, w *arguments) (string, any, error) {
 		return "take", replog.NameBody{Name: a.o.Name}, nil
@@ -65,7 +65,7 @@
 	"lift": func(a *Agent, w *arguments) (string, any, error) {
 		b := replog.EndBody{Name: w.text("freeze")}
 		if s := w.number("in_s", 0); s > 0 {
-			b.At = a.h.Now().Milliseconds() + int64(1000*s)
+			b.At = a.host.Now().Milliseconds() + int64(1000*s)
 		}
 		return "lift", b, nil
 	},
@@ -160,7 +160,7 @@
 // Agree proposes an entry for an operator, who is answered within a second.
 func (a *Agent) Agree(kind, by string, except uint64, body any, done func(index uint64, err error)) {
 	over := false
-	late := a.h.Loop().After(askOperator, func() {
+	late := a.host.Loop().After(askOperator, func() {
 		if !over {
 			over = true
 			done(0, fmt.Errorf("it was not agreed in %v: there may be no majority, or it may still come; see agreed", askOperator))
@@ -169,7 +169,7 @@
 	a.Propose(kind, by, except, body, func(index uint64, err error) {
 		if !over {
 			over = true
-			a.h.Loop().Cancel(late)
+			a.host.Loop().Cancel(late)
 			done(index, err)
 		}
 	})
@@ -178,7 +178,7 @@
 // Ask asks for a permit for a thing, for an operator: text says whether it is in use or why it waits.
 func (a *Agent) Ask(t change.Thing, holder, by, why string, except uint64, emergency bool, done func(text string, err error)) {
 	p := &change.Permit{Things: []change.Thing{t}, Holder: holder, Why: why, Emergency: emergency}
-	begun := a.h.Now()
+	begun := a.host.Now()
 	a.Agree("ask", by, except, p, func(index uint64, err error) {
 		if err != nil {
 			done("", err)
@@ -196,9 +196,9 @@
 		done("", fmt.Errorf("permit %d has ended already", id))
 	case p.Phase >= change.Used:
 		done(fmt.Sprintf("permit %d is in use\n", id), nil)
-	case a.h.Now()-begun > askOperator:
+	case a.host.Now()-begun > askOperator:
 		done(fmt.Sprintf("permit %d waits: %s\n", id, a.Waits(p)), nil)
 	default:
-		a.h.Loop().After(20*time.Millisecond, func() { a.await(id, begun, done) })
+		a.host.Loop().After(20*time.Millisecond, func() { a.await(id, begun, done) })
 	}
 }
--- a/internal/fleet/agreement/eligibility.go
+++ b/internal/fleet/agreement/eligibility.go
@@ -55,7 +55,7 @@
 // persist has a write of the log on disk, whole, before done is called on the turn.
 func (a *Agent) persist(w *replog.Write, done func()) {
 	id, err := msgpack.Marshal(a.id)
-	if err != nil || a.h.Disk() == nil {
+	if err != nil || a.host.Disk() == nil {
 		a.fail(fmt.Errorf("agree: there is no disk to hold the log on: %w", err))
 		return
 	}
@@ -72,8 +72,8 @@
 			a.span(i)
 		}
 	}
-	a.h.Disk().Write(entries, func(err error) {
-		a.h.Loop().Post(func() {
+	a.host.Disk().Write(entries, func(err error) {
+		a.host.Loop().Post(func() {
 			if err != nil {
 				a.fail(err)
 				return
@@ -98,7 +98,7 @@
 		return
 	}
 	for _, name := range a.others() {
-		a.send(name, message{Kind: messageLifeQuestion, Life: a.h.Life().N, Tag: a.h.Life().Tag})
+		a.send(name, message{Kind: messageLifeQuestion, Life: a.host.Life().N, Tag: a.host.Life().Tag})
 	}
 	if a.claim != nil {
 		a.judge()
@@ -116,7 +116,7 @@
 	for _, n := range a.o.First {
 		names[n] = true
 	}
-	for _, e := range a.h.View().Others() {
+	for _, e := range a.host.View().Others() {
 		if e.State < member.Suspected {
 			names[e.Card.Name] = true
 		}
@@ -126,7 +126,7 @@
 }
 
 func (a *Agent) claimed(from string, x message) {
-	a.known[from] = answer{x.ID, x.Index, a.h.Now()}
+	a.known[from] = answer{x.ID, x.Index, a.host.Now()}
 	if a.claim != nil {
 		a.claim.Answer(from, x.Life)
 		a.judge()
@@ -157,7 +157,7 @@
 func (a *Agent) forfeit() {
 	a.claim, a.mine, a.group, a.writing = nil, nil, nil, false
 	a.id++
-	if a.h.Disk() == nil {
+	if a.host.Disk() == nil {
 		return
 	}
 	entries := map[string][]byte{keyID: nil, keyHard: nil, keySnap: nil}
@@ -165,8 +165,8 @@
 		entries[fmt.Sprintf("%s%016x", store.Log, i)] = nil
 	}
 	a.logLo, a.logHi = 1, 0
-	a.h.Disk().Write(entries, func(error) {})
-	a.h.SaveSoon()
+	a.host.Disk().Write(entries, func(error) {})
+	a.host.SaveSoon()
 }
 
 // found begins the first agreement, once all that are to vote have said that they know of none, and so has everybody else.
@@ -181,7 +181,7 @@
 			voters = append(voters, replog.Voter{ID: k.id, Name: name, Hall: a.hallOf(name)})
 		}
 	}
-	if len(voters) != len(a.o.First) || a.h.Disk() == nil {
+	if len(voters) != len(a.o.First) || a.host.Disk() == nil {
 		return
 	}
 	a.begin(a.fresh(), voters)
@@ -218,7 +218,7 @@
 
 // hallOf is the hall of a gateway, by what it says of itself.
 func (a *Agent) hallOf(name string) string {
-	if e, ok := a.h.View().Other(name); ok {
+	if e, ok := a.host.View().Other(name); ok {
 		return a.hallName(e.Card.Hall)
 	}
 	return ""
--- a/internal/fleet/agreement/follow.go
+++ b/internal/fleet/agreement/follow.go
@@ -62,7 +62,7 @@
 	a.asked = now
 	names := slices.DeleteFunc(a.voters(), func(n string) bool { return n == a.o.Name })
 	if len(names) == 0 {
-		for _, e := range a.h.View().Others() { // nobody is known to vote: whoever is there may know
+		for _, e := range a.host.View().Others() { // nobody is known to vote: whoever is there may know
 			if e.State < member.Suspected {
 				names = append(names, e.Card.Name)
 			}
@@ -72,7 +72,7 @@
 		return
 	}
 	if i := slices.Index(names, a.from); i < 0 {
-		a.from = names[int(a.h.Life().Tag%uint64(len(names)))] // not all of a large fleet ask the same one
+		a.from = names[int(a.host.Life().Tag%uint64(len(names)))] // not all of a large fleet ask the same one
 	} else if now-a.heard > lonely {
 		a.from = names[(i+1)%len(names)]
 	}
@@ -88,7 +88,7 @@
 	if x.Era != st.Era { // it has to begin with the whole
 		x.Index = 0
 	}
-	a.follows[from] = &follower{next: x.Index + 1, at: a.h.Now()}
+	a.follows[from] = &follower{next: x.Index + 1, at: a.host.Now()}
 	a.feed(from)
 	a.beat(from)
 }
@@ -120,7 +120,7 @@
 		return
 	}
 	st := a.State()
-	a.send(to, message{Kind: messageHeartbeat, Index: st.Index, Hash: a.hash(), AgeMs: age.Milliseconds(), At: a.h.Now().Milliseconds(), Name: a.leads()})
+	a.send(to, message{Kind: messageHeartbeat, Index: st.Index, Hash: a.hash(), AgeMs: age.Milliseconds(), At: a.host.Now().Milliseconds(), Name: a.leads()})
 }
 
 // leads is who leads, as far as this gateway knows.
@@ -205,8 +205,8 @@
 // alarm names what must not be, once a second at the most.
 func (a *Agent) alarm(what string, f ...zap.Field) {
 	a.alarms++
-	if a.h.Now()-a.alarmed > time.Second {
-		a.alarmed = a.h.Now()
+	if a.host.Now()-a.alarmed > time.Second {
+		a.alarmed = a.host.Now()
 		a.log.Error(what, f...)
 	}
 }
--- a/internal/fleet/agreement/frozen.go
+++ b/internal/fleet/agreement/frozen.go
@@ -21,14 +21,14 @@
 	if !safeguard.Enabled("clock bound") {
 		bound = 0
 	}
-	return freeze.Clock{At: time.UnixMilli(a.h.Now().Milliseconds()), Bound: time.Duration(bound) * time.Millisecond}
+	return freeze.Clock{At: time.UnixMilli(a.host.Now().Milliseconds()), Bound: time.Duration(bound) * time.Millisecond}
 }
 
 // clockSeen compares this clock with one that is told: what it says was said a moment ago, so that only a clock that is
 // behind it by more than both bounds, or ahead by more than that and the time a message may take, is known to be off.
 func (a *Agent) clockSeen(x message) {
 	if x.At > 0 {
-		a.off, a.offAt = a.h.Now()-time.Duration(x.At)*time.Millisecond, a.h.Now()
+		a.off, a.offAt = a.host.Now()-time.Duration(x.At)*time.Millisecond, a.host.Now()
 	}
 }
 
--- a/internal/fleet/agreement/holder.go
+++ b/internal/fleet/agreement/holder.go
@@ -95,7 +95,7 @@
 		switch {
 		case p.Phase == change.Granted && x.once(p.ID, 1):
 			id := p.ID
-			a.Propose("use", "", 0, change.PermitBody{ID: id, Holder: a.o.Name, Life: a.h.Life().N}, func(_ uint64, err error) {
+			a.Propose("use", "", 0, change.PermitBody{ID: id, Holder: a.o.Name, Life: a.host.Life().N}, func(_ uint64, err error) {
 				if err != nil {
 					delete(x.asked, id<<3|1) // it may be granted again
 					a.log.Warn("a permit is not used", zap.Uint64("permit", id), zap.Error(err))
@@ -103,7 +103,7 @@
 					a.drained(id)
 				}
 			})
-		case p.Phase == change.Used && mine && p.Release == 0 && p.Life < a.h.Life().N && a.gw.Serving() && x.once(p.ID, 2):
+		case p.Phase == change.Used && mine && p.Release == 0 && p.Life < a.host.Life().N && a.gw.Serving() && x.once(p.ID, 2):
 			a.giveBack(p.ID) // a former life of this gateway was out by it, and this one serves
 		}
 	}
@@ -111,7 +111,7 @@
 
 // drained sends clients away: this gateway has seen that its permit is in use.
 func (a *Agent) drained(id uint64) {
-	if p := a.State().Change.Permit(id); p == nil || p.Phase != change.Used || p.Life != a.h.Life().N {
+	if p := a.State().Change.Permit(id); p == nil || p.Phase != change.Used || p.Life != a.host.Life().N {
 		return
 	}
 	a.held.drain = id
@@ -119,7 +119,7 @@
 }
 
 func (a *Agent) giveBack(id uint64) {
-	a.Propose("return", "", 0, change.PermitBody{ID: id, Holder: a.o.Name, Life: a.h.Life().N}, nil)
+	a.Propose("return", "", 0, change.PermitBody{ID: id, Holder: a.o.Name, Life: a.host.Life().N}, nil)
 }
 
 // Permit is the permit that names this gateway, nil if none does.
@@ -183,7 +183,7 @@
 		a.Agree("lapse", by, 0, change.PermitBody{ID: p.ID, Why: "taken back by " + by}, func(_ uint64, err error) { done("", err) })
 		return
 	}
-	a.Agree("return", by, 0, change.PermitBody{ID: p.ID, Holder: p.Holder, Life: max(p.Life, a.h.Life().N)}, func(_ uint64, err error) { done("", err) })
+	a.Agree("return", by, 0, change.PermitBody{ID: p.ID, Holder: p.Holder, Life: max(p.Life, a.host.Life().N)}, func(_ uint64, err error) { done("", err) })
 }
 
 // Urgent says that something has been taken out without asking: it is named, and counts.
--- a/internal/fleet/agreement/incarnations.go
+++ b/internal/fleet/agreement/incarnations.go
@@ -21,7 +21,7 @@
 		return k.Before
 	case l.Compare(k.Incarnation) > 0:
 		a.lives[name] = incarnations{l, max(k.N, k.Before)}
-		a.h.SaveSoon()
+		a.host.SaveSoon()
 	}
 	return k.N
 }
--- a/internal/fleet/agreement/lead.go
+++ b/internal/fleet/agreement/lead.go
@@ -42,7 +42,7 @@
 }
 
 func (l *leader) take(a *Agent, r Report) {
-	l.reports[r.Name] = &lastReport{Report: r, at: a.h.Now()}
+	l.reports[r.Name] = &lastReport{Report: r, at: a.host.Now()}
 }
 
 // drive makes the fleet go on, where this gateway leads.
--- a/internal/fleet/agreement/messages.go
+++ b/internal/fleet/agreement/messages.go
@@ -49,11 +49,11 @@
 		a.log.Error("a message can't be told", zap.Error(err))
 		return false
 	}
-	return a.h.Send(to, b)
+	return a.host.Send(to, b)
 }
 
-// Hear takes a message of the same part at another gateway.
-func (a *Agent) Hear(m fleet.Received) {
+// Receive takes a message of the same part at another gateway.
+func (a *Agent) Receive(m fleet.Received) {
 	if m.How != fleet.Message || a.stopped || m.From == "" {
 		return
 	}
--- a/internal/fleet/agreement/propose.go
+++ b/internal/fleet/agreement/propose.go
@@ -40,7 +40,7 @@
 		return
 	}
 	a.seq++
-	e := &replog.Entry{V: 1, From: a.o.Name, Life: a.h.Life().N, Seq: a.seq, By: by, Except: except, Kind: kind, Body: b}
+	e := &replog.Entry{V: 1, From: a.o.Name, Life: a.host.Life().N, Seq: a.seq, By: by, Except: except, Kind: kind, Body: b}
 	if err := e.Check(); err != nil {
 		done(0, err)
 		return
@@ -50,9 +50,9 @@
 		done(0, err)
 		return
 	}
-	p := &proposal{entry: e, raw: raw, at: a.h.Now(), until: a.h.Now() + proposeFor, done: done}
+	p := &proposal{entry: e, raw: raw, at: a.host.Now(), until: a.host.Now() + proposeFor, done: done}
 	if x, ok := body.(*change.Permit); ok && x.Emergency {
-		p.until = a.h.Now() + urgentFor
+		p.until = a.host.Now() + urgentFor
 	}
 	a.open[a.seq] = p
 	a.say(p)
@@ -60,11 +60,11 @@
 
 // say tells who leads of a proposal; where nobody is known to, a voter.
 func (a *Agent) say(p *proposal) {
-	p.said = a.h.Now()
+	p.said = a.host.Now()
 	if a.group != nil && a.group.Leads() {
 		e := *p.entry
 		a.fill(&e)
-		if a.group.Propose(&e, a.h.Now().Milliseconds()) == nil {
+		if a.group.Propose(&e, a.host.Now().Milliseconds()) == nil {
 			a.pump()
 		}
 		return
@@ -103,7 +103,7 @@
 		return
 	}
 	a.fill(e)
-	if a.group.Propose(e, a.h.Now().Milliseconds()) == nil {
+	if a.group.Propose(e, a.host.Now().Milliseconds()) == nil {
 		a.pump()
 	}
 }
@@ -135,7 +135,7 @@
 
 // answer ends a proposal of this gateway that has been applied.
 func (a *Agent) answer(x replog.Applied) {
-	if x.Entry.From != a.o.Name || x.Entry.Life != a.h.Life().N {
+	if x.Entry.From != a.o.Name || x.Entry.Life != a.host.Life().N {
 		return
 	}
 	if p := a.open[x.Entry.Seq]; p != nil { // applied before, while this gateway was away: then that is all that is known
--- a/internal/fleet/agreement/report.go
+++ b/internal/fleet/agreement/report.go
@@ -104,13 +104,13 @@
 // seen is this gateway's report.
 func (a *Agent) seen(now time.Duration) Report {
 	st := a.State()
-	r := Report{Name: a.o.Name, Life: a.h.Life().N, ID: a.id, Hall: a.o.Hall, Serving: a.gw.Serving(), Warm: a.gw.Warm(), Version: a.o.Version,
+	r := Report{Name: a.o.Name, Life: a.host.Life().N, ID: a.id, Hall: a.o.Hall, Serving: a.gw.Serving(), Warm: a.gw.Warm(), Version: a.o.Version,
 		Config: a.o.Config, Level: replog.Level, Load: a.sight.load, Classes: append([]change.Tally(nil), a.sight.tallies...), Uses: append([]float64(nil), a.sight.use...)}
 	if st == nil {
 		return r
 	}
 	r.Index = st.Index
-	for _, e := range a.h.View().Others() {
+	for _, e := range a.host.View().Others() {
 		t := change.Of(change.Gateway, e.Card.Name)
 		k, serving := st.Change.Things[t], e.State == member.Serving
 		if k == nil || k.Health != change.Well || !serving || k.Life != e.Card.Life.N || st.Change.PermitOf(t) != nil {
@@ -167,8 +167,8 @@
 	case m.Since > 0 && now-m.Since < a.o.ColdFor:
 		w.Health = change.Cold
 	case m.Since > 0 && (!answered || at < m.Since):
-		w.Health = change.Cold                                          // nothing has been seen of it yet
-		a.gw.Probe(name, func() { a.sight.answered[name] = a.h.Now() }) // nobody may have a call for it
+		w.Health = change.Cold                                             // nothing has been seen of it yet
+		a.gw.Probe(name, func() { a.sight.answered[name] = a.host.Now() }) // nobody may have a call for it
 	}
 	return w
 }
--- a/internal/fleet/agreement/shown.go
+++ b/internal/fleet/agreement/shown.go
@@ -72,7 +72,7 @@
 	}
 	age, caught := a.Age()
 	if !caught {
-		age = a.h.Now() - a.begun
+		age = a.host.Now() - a.begun
 	}
 	show("agreed.role", role)
 	show("agreed.age_ms", int(age.Milliseconds()))
--- a/internal/fleet/member/delegate.go
+++ b/internal/fleet/member/delegate.go
@@ -32,10 +32,10 @@
 
 // NotifyMsg takes a piece of news.
 func (t *Transport) NotifyMsg(b []byte) {
-	if len(b) > maxNews {
+	if len(b) > maxBroadcast {
 		return
 	}
-	t.h.News(append([]byte(nil), b...))
+	t.h.Broadcast(append([]byte(nil), b...))
 }
 
 // GetBroadcasts returns the news that goes with the next datagram.
@@ -45,8 +45,8 @@
 
 // LocalState returns what this gateway knows.
 func (t *Transport) LocalState(bool) []byte {
-	b := t.h.Word()
-	if len(b) > maxWord {
+	b := t.h.LocalState()
+	if len(b) > maxState {
 		t.trouble(fmt.Sprintf("what is known takes %d bytes and is not told", len(b)))
 		return nil
 	}
@@ -57,10 +57,10 @@
 func (t *Transport) MergeRemoteState(b []byte, _ bool) {
 	switch {
 	case len(b) == 0:
-	case len(b) > maxWord:
+	case len(b) > maxState:
 		t.trouble(fmt.Sprintf("what another gateway knows takes %d bytes and is not heard", len(b)))
 	default:
-		t.h.Heard(append([]byte(nil), b...))
+		t.h.RemoteState(append([]byte(nil), b...))
 	}
 }
 
--- a/internal/fleet/member/network.go
+++ b/internal/fleet/member/network.go
@@ -27,7 +27,7 @@
 // counted is a connection whose bytes are counted.
 type counted struct {
 	net.Conn
-	w *wires
+	w *sharedTransport
 }
 
 var errUnreachable = errors.New("member: nothing arrives from there")
@@ -48,7 +48,7 @@
 }
 
 // receives asks the network about a peer. Gateways connect from the address that they bind.
-func (w *wires) receives(from net.Addr) bool {
+func (w *sharedTransport) receives(from net.Addr) bool {
 	if w.network == nil {
 		return true
 	}
@@ -57,7 +57,7 @@
 }
 
 // receivePackets hands datagrams on and counts them, until the transport ends.
-func (w *wires) receivePackets() {
+func (w *sharedTransport) receivePackets() {
 	for {
 		select {
 		case p := <-w.NetTransport.PacketCh():
@@ -77,7 +77,7 @@
 }
 
 // writeTo sends a datagram by the network.
-func (w *wires) writeTo(b []byte, addr string) (time.Time, error) {
+func (w *sharedTransport) writeTo(b []byte, addr string) (time.Time, error) {
 	w.traffic.sent.Add(uint64(len(b)))
 	if w.network == nil {
 		return w.NetTransport.WriteTo(b, w.at(addr))
@@ -88,7 +88,7 @@
 }
 
 // dial opens a connection by the network.
-func (w *wires) dial(addr string, limit time.Duration) (c net.Conn, err error) {
+func (w *sharedTransport) dial(addr string, limit time.Duration) (c net.Conn, err error) {
 	dialer := net.Dialer{Timeout: limit, LocalAddr: &net.TCPAddr{IP: w.host}}
 	open := func() (net.Conn, error) { return dialer.Dial("tcp", w.at(addr)) }
 	if w.network == nil {
@@ -104,7 +104,7 @@
 
 // Traffic is what has gone between this gateway and the others so far.
 func (t *Transport) Traffic() Traffic {
-	return Traffic{Sent: t.wires.traffic.sent.Load(), Received: t.wires.traffic.received.Load()}
+	return Traffic{Sent: t.sockets.traffic.sent.Load(), Received: t.sockets.traffic.received.Load()}
 }
 
-var _ memberlist.NodeAwareTransport = (*wires)(nil)
+var _ memberlist.NodeAwareTransport = (*sharedTransport)(nil)
--- a/internal/fleet/member/wires.go
+++ b/internal/fleet/member/shared_transport.go
@@ -15,9 +15,9 @@
 	waiting   = 64              // connections of memberlist's that wait to be served
 )
 
-// wires are the sockets that memberlist and the links share: datagrams and connections at one address. Other gateways are
+// sharedTransport has memberlist and the links share sockets: datagrams and connections at one address. Other gateways are
 // reached by the address that they name, or by another one where via says so.
-type wires struct {
+type sharedTransport struct {
 	*memberlist.NetTransport
 	via    map[string]string
 	stream chan net.Conn
@@ -30,8 +30,8 @@
 	traffic traffic
 }
 
-func newWires(inner *memberlist.NetTransport, host net.IP, o Options, links func(net.Conn)) *wires {
-	w := &wires{NetTransport: inner, host: host, via: o.Via, network: o.Network, stream: make(chan net.Conn, waiting), links: links,
+func newSharedTransport(inner *memberlist.NetTransport, host net.IP, o Options, links func(net.Conn)) *sharedTransport {
+	w := &sharedTransport{NetTransport: inner, host: host, via: o.Via, network: o.Network, stream: make(chan net.Conn, waiting), links: links,
 		stop: make(chan struct{}), packets: make(chan *memberlist.Packet)}
 	go w.sort()
 	go w.receivePackets()
@@ -39,7 +39,7 @@
 }
 
 // sort tells connections apart by their first byte.
-func (w *wires) sort() {
+func (w *sharedTransport) sort() {
 	for {
 		select {
 		case c := <-w.NetTransport.StreamCh():
@@ -77,7 +77,7 @@
 func (p *peeked) Read(b []byte) (int, error) { return p.r.Read(b) }
 
 // at is where a gateway is reached that names an address as its own.
-func (w *wires) at(addr string) string {
+func (w *sharedTransport) at(addr string) string {
 	if a, ok := w.via[addr]; ok {
 		return a
 	}
@@ -86,21 +86,21 @@
 
 // What memberlist asks of a transport.
 
-func (w *wires) StreamCh() <-chan net.Conn           { return w.stream }
-func (w *wires) PacketCh() <-chan *memberlist.Packet { return w.packets }
-func (w *wires) WriteTo(b []byte, addr string) (time.Time, error) {
+func (w *sharedTransport) StreamCh() <-chan net.Conn           { return w.stream }
+func (w *sharedTransport) PacketCh() <-chan *memberlist.Packet { return w.packets }
+func (w *sharedTransport) WriteTo(b []byte, addr string) (time.Time, error) {
 	return w.writeTo(b, addr)
 }
-func (w *wires) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
+func (w *sharedTransport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
 	return w.writeTo(b, a.Addr)
 }
-func (w *wires) DialTimeout(addr string, limit time.Duration) (net.Conn, error) {
+func (w *sharedTransport) DialTimeout(addr string, limit time.Duration) (net.Conn, error) {
 	return w.dial(addr, limit)
 }
-func (w *wires) DialAddressTimeout(a memberlist.Address, limit time.Duration) (net.Conn, error) {
+func (w *sharedTransport) DialAddressTimeout(a memberlist.Address, limit time.Duration) (net.Conn, error) {
 	return w.dial(a.Addr, limit)
 }
-func (w *wires) Shutdown() error {
+func (w *sharedTransport) Shutdown() error {
 	close(w.stop)
 	return w.NetTransport.Shutdown()
 }
--- a/internal/fleet/member/transport.go
+++ b/internal/fleet/member/transport.go
@@ -21,12 +21,12 @@
 )
 
 const (
-	maxWord    = 2 << 20 // bytes of what a gateway tells one that asks
-	maxNews    = 1200    // bytes of a piece of news: it has to fit a datagram
-	maxAsked   = 16      // gateways that one asks when it starts
-	maxWaiting = 1024    // pieces of news that wait to be told
-	retryEvery = time.Second
-	leaveLimit = 300 * time.Millisecond
+	maxState     = 2 << 20 // bytes of what a gateway tells one that asks
+	maxBroadcast = 1200    // bytes of a piece of news: it has to fit a datagram
+	maxAsked     = 16      // gateways that one asks when it starts
+	maxWaiting   = 1024    // pieces of news that wait to be told
+	retryEvery   = time.Second
+	leaveLimit   = 300 * time.Millisecond
 )
 
 // Options say where and with whom a gateway is.
@@ -40,32 +40,32 @@
 	Network Network // nil for the machine's own
 }
 
-// Handler is told what comes in, on the transport's goroutines; it must not block. Word is asked for what to tell a gateway
+// Handler is told what comes in, on the transport's goroutines; it must not block. LocalState is asked for what to tell a gateway
 // that asks; it returns what was posted last.
 type Handler interface {
 	Event(Event)
-	Heard(word []byte)                                     // what another gateway knows, in answer or unasked
-	News(what []byte)                                      // a piece of news, told to all
+	RemoteState(state []byte)                              // what another gateway knows, in answer or unasked
+	Broadcast(message []byte)                              // a piece of news, told to all
 	Message(from link.Hello, m link.Message, taken func()) // told to this gateway; taken once it has been dealt with
-	Word() []byte                                          // what this gateway knows
+	LocalState() []byte                                    // what this gateway knows
 	Trouble(what string)                                   // something that operators should know
 }
 
 // Transport is this process's place among the others.
 type Transport struct {
-	list  *memberlist.Memberlist
-	queue *memberlist.TransmitLimitedQueue
-	links *link.Net
-	wires *wires
-	addrs sync.Map // by name, the place of every gateway that was ever heard of: memberlist changes its own nodes as it goes
-	h     Handler
-	log   *zap.Logger
-	o     Options
-	card  atomic.Pointer[Metadata]
-	stop  context.CancelFunc
-	done  chan struct{}
-	lost  atomic.Uint64 // pieces of news that found no room
-	said  sync.Map      // troubles that were told already
+	list    *memberlist.Memberlist
+	queue   *memberlist.TransmitLimitedQueue
+	links   *link.Net
+	sockets *sharedTransport
+	addrs   sync.Map // by name, the place of every gateway that was ever heard of: memberlist changes its own nodes as it goes
+	h       Handler
+	log     *zap.Logger
+	o       Options
+	card    atomic.Pointer[Metadata]
+	stop    context.CancelFunc
+	done    chan struct{}
+	lost    atomic.Uint64 // pieces of news that found no room
+	said    sync.Map      // troubles that were told already
 }
 
 // Open takes the place. It does not wait for anybody: Join does.
@@ -90,13 +90,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("member: %w", err)
 	}
-	var w *wires
+	var w *sharedTransport
 	hello := link.Hello{Fleet: o.Fleet, Name: o.Self.Name, Life: o.Self.Life.N, Major: Major, Minor: Minor}
 	t.links = link.New(hello, func(addr string, limit time.Duration) (net.Conn, error) {
 		return w.dial(addr, limit)
 	}, h.Message)
-	w = newWires(inner, net.ParseIP(host), o, t.accept)
-	c.Transport, t.wires = w, w
+	w = newSharedTransport(inner, net.ParseIP(host), o, t.accept)
+	c.Transport, t.sockets = w, w
 	c.TCPTimeout, c.ProbeTimeout, c.ProbeInterval = 500*time.Millisecond, 300*time.Millisecond, 700*time.Millisecond
 	c.SuspicionMult, c.SuspicionMaxTimeoutMult = 3, 2
 	c.GossipInterval, c.PushPullInterval, c.GossipToTheDeadTime = 100*time.Millisecond, 10*time.Second, 10*time.Second
@@ -190,9 +190,9 @@
 	go t.list.UpdateNode(leaveLimit)
 }
 
-// Tell passes a piece of news on to all, without waiting. It reports whether there was room.
-func (t *Transport) Tell(what []byte) bool {
-	if len(what) > maxNews || t.queue.NumQueued() >= maxWaiting {
+// Broadcast passes a message on to all, without waiting. It reports whether there was room.
+func (t *Transport) Broadcast(what []byte) bool {
+	if len(what) > maxBroadcast || t.queue.NumQueued() >= maxWaiting {
 		t.lost.Add(1)
 		return false
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -26,28 +26,28 @@
 
 // Node is a gateway's place in the fleet. Its methods are called on the turn unless they say otherwise.
 type Node struct {
-	loop  *core.Loop
-	set   *Settings
-	name  string
-	hall  int
-	log   *zap.Logger
-	boot  func() (boot string, up time.Duration)
-	parts []Part
-
-	view    *member.View
-	life    member.Incarnation
-	db      *store.Store
-	found   map[string][]byte // on disk, while the parts begin
-	net     *member.Transport
-	begun   bool // the disk has been read, or given up
-	joined  bool // the others have been asked
-	since   time.Duration
-	ended   bool
-	asked   bool // the others have been asked again after a pause
-	savedAt time.Duration
-	word    atomic.Pointer[[]byte]
-	late    int // pieces of news that were not told for want of room
-	network member.Network
+	loop     *core.Loop
+	settings *Settings
+	name     string
+	hall     int
+	log      *zap.Logger
+	boot     func() (boot string, up time.Duration)
+	parts    []Part
+
+	view       *member.View
+	life       member.Incarnation
+	db         *store.Store
+	found      map[string][]byte // on disk, while the parts begin
+	net        *member.Transport
+	begun      bool // the disk has been read, or given up
+	joined     bool // the others have been asked
+	since      time.Duration
+	ended      bool
+	asked      bool // the others have been asked again after a pause
+	savedAt    time.Duration
+	localState atomic.Pointer[[]byte]
+	unsent     int // broadcasts that found no room
+	network    member.Network
 }
 
 // Between has the node reach the others by a network other than the machine's own. It is called before Start.
@@ -55,7 +55,7 @@
 
 // New returns a node that has not started. name and hall are the gateway's.
 func New(loop *core.Loop, set *Settings, name string, hall int, log *zap.Logger) *Node {
-	return &Node{loop: loop, set: set, name: name, hall: hall, log: log, boot: bootOf(set.BootID)}
+	return &Node{loop: loop, settings: set, name: name, hall: hall, log: log, boot: bootOf(set.BootID)}
 }
 
 // Add adds a part, before Start. The parts are served in the order in which they were added.
@@ -76,7 +76,7 @@
 func (n *Node) Start() {
 	n.since = n.loop.Now()
 	go func() {
-		r := readState(n.set.Dir, time.Duration(time.Now().UnixNano()))
+		r := readState(n.settings.Dir, time.Duration(time.Now().UnixNano()))
 		n.loop.Post(func() { n.read(r) })
 	}()
 	n.tick()
@@ -118,8 +118,8 @@
 		p.Begin(entries[p.Name()], late)
 	}
 	n.found = nil
-	n.post()
-	o := member.Options{Fleet: n.set.Fleet, Bind: n.set.Bind, Seeds: n.set.Seeds, Via: n.set.Via, Self: self, Network: n.network}
+	n.publish()
+	o := member.Options{Fleet: n.settings.Fleet, Bind: n.settings.Bind, Seeds: n.settings.Seeds, Via: n.settings.Via, Self: self, Network: n.network}
 	go func() {
 		t, err := member.Open(o, (*receiver)(n), n.log)
 		if err != nil {
@@ -179,7 +179,7 @@
 	if n.joined && now-n.savedAt >= saveEvery {
 		n.savedAt = now
 		n.save()
-		n.post()
+		n.publish()
 	}
 	n.loop.After(tickEvery, n.tick)
 }
--- a/internal/fleet/part.go
+++ b/internal/fleet/part.go
@@ -24,12 +24,12 @@
 	Joined()
 	// Tick is the node's pace.
 	Tick(now time.Duration)
-	// Hear takes a message of the same part at another gateway.
-	Hear(m Received)
-	// Saw takes what has become of another gateway.
-	Saw(e member.Event, what member.Transition)
-	// Tell returns what a gateway that asks is told, nil for nothing.
-	Tell() []byte
+	// Receive takes a message of the same part at another gateway.
+	Receive(m Received)
+	// MemberChanged takes what has become of another gateway.
+	MemberChanged(e member.Event, what member.Transition)
+	// LocalState returns what a gateway that asks is told, nil for nothing.
+	LocalState() []byte
 	// Save returns what has to outlive a power loss, to be encoded off the turn; nil for nothing new.
 	Save() func() ([]byte, error)
 	// Figures shows what operators want to see.
@@ -48,14 +48,14 @@
 // Tick does nothing.
 func (Base) Tick(time.Duration) {}
 
-// Hear does nothing.
-func (Base) Hear(Received) {}
+// Receive does nothing.
+func (Base) Receive(Received) {}
 
-// Saw does nothing.
-func (Base) Saw(member.Event, member.Transition) {}
+// MemberChanged does nothing.
+func (Base) MemberChanged(member.Event, member.Transition) {}
 
-// Tell does nothing.
-func (Base) Tell() []byte { return nil }
+// LocalState does nothing.
+func (Base) LocalState() []byte { return nil }
 
 // Save does nothing.
 func (Base) Save() func() ([]byte, error) { return nil }
@@ -114,9 +114,9 @@
 // Disk is the store, nil where there is none.
 func (h *Host) Disk() *store.Store { return h.n.db }
 
-// News tells all the others. It reports whether there was room; what is lost is not told again.
-func (h *Host) News(body []byte) bool {
-	return h.n.news(h.part, body)
+// Broadcast sends to all the others. It reports whether there was room; what is lost is not told again.
+func (h *Host) Broadcast(body []byte) bool {
+	return h.n.broadcast(h.part, body)
 }
 
 // Send tells one gateway, and SendAll each of them at once, over their links.
@@ -134,11 +134,11 @@
 // Become changes what this gateway says of its own state.
 func (h *Host) Become(s member.State) { h.n.become(s) }
 
-// SaveSoon has all parts saved with the next tick, and Retell has those who ask told anew.
+// SaveSoon has all parts saved with the next tick, and Republish has those who ask told anew.
 func (h *Host) SaveSoon() { h.n.savedAt = 0 }
 
-// Retell has those who ask told anew.
-func (h *Host) Retell() { h.n.post() }
+// Republish has those who ask told anew.
+func (h *Host) Republish() { h.n.publish() }
 
 // decode reads what is on disk or came over the net, and refuses what can't be.
 func decode(b []byte, v interface{ Check() error }) error {
--- a/internal/fleet/receiver.go
+++ b/internal/fleet/receiver.go
@@ -42,11 +42,11 @@
 	return nil
 }
 
-// post puts down what others are told when they ask.
-func (n *Node) post() {
+// publish puts down what others are told when they ask.
+func (n *Node) publish() {
 	w := answer{}
 	for _, p := range n.parts {
-		if b := p.Tell(); b != nil {
+		if b := p.LocalState(); b != nil {
 			w[p.Name()] = b
 		}
 	}
@@ -55,30 +55,30 @@
 		n.log.Error("what is known can't be told", zap.Error(err))
 		return
 	}
-	n.word.Store(&b)
+	n.localState.Store(&b)
 }
 
-// news tells all the others by gossip.
-func (n *Node) news(part string, body []byte) bool {
+// broadcast tells all the others by gossip.
+func (n *Node) broadcast(part string, body []byte) bool {
 	b, err := msgpack.Marshal(&broadcast{From: n.name, Life: n.life.N, Part: part, Body: body})
-	if err != nil || n.net == nil || !n.net.Tell(b) {
-		n.late++
+	if err != nil || n.net == nil || !n.net.Broadcast(b) {
+		n.unsent++
 		return false
 	}
 	return true
 }
 
-// hear gives a message to the part that it is for; one of a part that is not here is of a newer version.
-func (n *Node) hear(part string, m Received) {
+// deliver gives a message to the part that it is for; one of a part that is not here is of a newer version.
+func (n *Node) deliver(part string, m Received) {
 	for _, p := range n.parts {
 		if p.Name() == part {
-			p.Hear(m)
+			p.Receive(m)
 		}
 	}
 }
 
 // heard takes what another gateway knows.
-func (n *Node) heard(b []byte) {
+func (n *Node) receiveState(b []byte) {
 	var w answer
 	if err := decode(b, &w); err != nil {
 		n.log.Warn("another gateway's word is not understood", zap.Error(err))
@@ -86,25 +86,25 @@
 	}
 	for _, p := range n.parts {
 		if body, ok := w[p.Name()]; ok {
-			p.Hear(Received{How: Answer, Body: body})
+			p.Receive(Received{How: Answer, Body: body})
 		}
 	}
 }
 
-// heardNews takes a piece of news.
-func (n *Node) heardNews(b []byte) {
+// receiveBroadcast takes a piece of news.
+func (n *Node) receiveBroadcast(b []byte) {
 	var x broadcast
 	if err := decode(b, &x); err != nil {
 		n.log.Warn("news are not understood", zap.Error(err))
 		return
 	}
-	n.spoken(x.Part, Received{How: Broadcast, From: x.From, Life: x.Life, Body: x.Body})
+	n.deliverFrom(x.Part, Received{How: Broadcast, From: x.From, Life: x.Life, Body: x.Body})
 }
 
-// spoken hears another gateway, unless it speaks of a life that was followed by another.
-func (n *Node) spoken(part string, m Received) {
+// deliverFrom delivers what comes of another gateway, unless it speaks of a life that was followed by another.
+func (n *Node) deliverFrom(part string, m Received) {
 	if m.From != n.name && m.Life >= n.view.Heard(m.From) {
-		n.hear(part, m)
+		n.deliver(part, m)
 	}
 }
 
@@ -126,13 +126,13 @@
 		}
 	}
 	for _, p := range n.parts {
-		p.Saw(e, what)
+		p.MemberChanged(e, what)
 	}
 }
 
 // Figures shows the node's own figures and those of the parts.
 func (n *Node) Figures(show func(name string, value int)) {
-	alive, untold := 1, n.late
+	alive, untold := 1, n.unsent
 	if n.view != nil {
 		alive = n.view.Alive()
 	}
@@ -170,8 +170,8 @@
 }
 
 func (e *receiver) Event(x member.Event) { e.post(func(n *Node) { n.event(x) }) }
-func (e *receiver) Heard(b []byte)       { e.post(func(n *Node) { n.heard(b) }) }
-func (e *receiver) News(b []byte)        { e.post(func(n *Node) { n.heardNews(b) }) }
+func (e *receiver) RemoteState(b []byte) { e.post(func(n *Node) { n.receiveState(b) }) }
+func (e *receiver) Broadcast(b []byte)   { e.post(func(n *Node) { n.receiveBroadcast(b) }) }
 func (e *receiver) Trouble(what string) {
 	e.post(func(n *Node) { n.log.Warn("fleet", zap.String("what", what)) })
 }
@@ -179,12 +179,12 @@
 	n := (*Node)(e)
 	n.loop.Post(func() {
 		if taken(); !n.ended {
-			n.spoken(m.Part, Received{How: Message, From: from.Name, Life: from.Life, Body: m.Body})
+			n.deliverFrom(m.Part, Received{How: Message, From: from.Name, Life: from.Life, Body: m.Body})
 		}
 	})
 }
-func (e *receiver) Word() []byte {
-	if b := e.word.Load(); b != nil {
+func (e *receiver) LocalState() []byte {
+	if b := e.localState.Load(); b != nil {
 		return *b
 	}
 	return nil
--- a/internal/fleet/recovery.go
+++ b/internal/fleet/recovery.go
@@ -26,7 +26,7 @@
 // have said of workers the same at all gateways.
 type Recovery struct {
 	Base
-	h    *Host
+	host *Host
 	gw   Gateway
 	set  *Settings
 	lim  recover.Limits
@@ -53,7 +53,7 @@
 // NewRecovery returns the part. rank is the worth of each class; left are bans that the gateway knows from elsewhere, and
 // of which a word of the fleet counts more.
 func NewRecovery(h *Host, gw Gateway, set *Settings, lim recover.Limits, rank []float64, left []roster.Ban) *Recovery {
-	return &Recovery{h: h, gw: gw, set: set, lim: lim, rank: rank, left: left, course: recover.NewPhases(h.Now()), marks: recover.Checkpoints{},
+	return &Recovery{host: h, gw: gw, set: set, lim: lim, rank: rank, left: left, course: recover.NewPhases(h.Now()), marks: recover.Checkpoints{},
 		agreed: recover.NewAgreed(), members: map[string]core.Member{}, held: map[string]uint64{}}
 }
 
@@ -62,8 +62,8 @@
 
 // Start is called before the node's: serves says that this process has taken over from one that served.
 func (c *Recovery) Start(serves bool) {
-	c.serves, c.course = serves, recover.NewPhases(c.h.Now())
-	c.h.Log().Info("coming back", zap.Stringer("phase", c.course.Phase()))
+	c.serves, c.course = serves, recover.NewPhases(c.host.Now())
+	c.host.Log().Info("coming back", zap.Stringer("phase", c.course.Phase()))
 }
 
 // Begin takes the former state.
@@ -72,7 +72,7 @@
 	if saved != nil {
 		s := &recover.Saved{}
 		if err := decode(saved, s); err != nil {
-			c.h.Log().Error("state on disk is not used", zap.String("what", err.Error()))
+			c.host.Log().Error("state on disk is not used", zap.String("what", err.Error()))
 		} else {
 			c.saved = s
 		}
@@ -85,8 +85,8 @@
 	c.pass(recover.Reading, without)
 	if s := c.saved; s != nil {
 		if !TrustAll {
-			for _, v := range s.Trusted(c.h.Stamp(), c.lim) {
-				c.h.Log().Debug("state", zap.String("kind", string(v.Kind)), zap.Stringer("trust", v.Trust), zap.String("why", v.Why))
+			for _, v := range s.Trusted(c.host.Stamp(), c.lim) {
+				c.host.Log().Debug("state", zap.String("kind", string(v.Kind)), zap.Stringer("trust", v.Trust), zap.String("why", v.Why))
 			}
 		}
 		c.marks.Join(s.Marks)
@@ -149,7 +149,7 @@
 	}
 	c.begun = true
 	if err := c.gw.Begin(b); err != nil {
-		c.h.Log().Error("what was known before is not used", zap.Error(err))
+		c.host.Log().Error("what was known before is not used", zap.Error(err))
 	}
 	c.hold()
 }
@@ -174,7 +174,7 @@
 		}
 	}
 	if c.admit != nil && c.course.Phase() == recover.Admitting {
-		c.admit.Fleet(c.h.View().Alive())
+		c.admit.Fleet(c.host.View().Alive())
 		c.gw.AssumeRate(c.former, c.admit.Slots())
 		if c.admit.Done(now) {
 			c.pass(recover.Admitting, "")
@@ -188,18 +188,18 @@
 
 func (c *Recovery) pass(p recover.Phase, without string) bool {
 	before := c.course.Since()
-	if !c.course.Pass(c.h.Now(), p, without) {
+	if !c.course.Pass(c.host.Now(), p, without) {
 		return false
 	}
-	f := []zap.Field{zap.Stringer("phase", c.course.Phase()), zap.Duration("after", c.h.Now()-before)}
+	f := []zap.Field{zap.Stringer("phase", c.course.Phase()), zap.Duration("after", c.host.Now()-before)}
 	if without != "" {
-		c.h.Log().Warn("coming back", append(f, zap.String("without", without))...)
+		c.host.Log().Warn("coming back", append(f, zap.String("without", without))...)
 	} else {
-		c.h.Log().Info("coming back", f...)
+		c.host.Log().Info("coming back", f...)
 	}
 	if c.course.Phase() == recover.Full {
 		c.gw.AssumeRate(0, 0)
-		c.h.Retell()
+		c.host.Republish()
 	}
 	return true
 }
@@ -231,10 +231,10 @@
 		return nil
 	}
 	if c.course.Phase() == recover.Full {
-		c.former = max(m.Rate(c.h.Now()), c.former*formerFade)
+		c.former = max(m.Rate(c.host.Now()), c.former*formerFade)
 	}
-	s := &recover.Saved{At: c.h.Stamp(), Event: c.gw.Event(), Roster: c.gw.Saved(), Marks: maps.Clone(c.marks), Module: m, Former: c.former,
-		Alive: c.h.View().Alive()}
+	s := &recover.Saved{At: c.host.Stamp(), Event: c.gw.Event(), Roster: c.gw.Saved(), Marks: maps.Clone(c.marks), Module: m, Former: c.former,
+		Alive: c.host.View().Alive()}
 	for _, name := range slices.Sorted(maps.Keys(c.members)) {
 		s.List, s.Addrs = append(s.List, c.members[name].Host), append(s.Addrs, c.members[name].Addr)
 	}
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -33,13 +33,13 @@
 	return x.Marks.Check()
 }
 
-// Tell returns what is known, for who asks.
-func (c *Recovery) Tell() []byte {
+// LocalState returns what is known, for who asks.
+func (c *Recovery) LocalState() []byte {
 	w := &recover.Answer{Marks: c.marks, Started: map[string]int64{}, Stands: map[string][]recover.Copy{}, Rate: c.former,
 		Full: c.course.Phase() == recover.Full}
 	if c.begun {
 		w.Event = c.gw.Event()
-		now := c.h.Now()
+		now := c.host.Now()
 		for _, m := range c.members {
 			if m.State == decide.Draining {
 				w.Draining = append(w.Draining, m.Name)
@@ -54,21 +54,21 @@
 	}
 	b, err := msgpack.Marshal(w)
 	if err != nil {
-		c.h.Log().Error("what is known can't be told", zap.Error(err))
+		c.host.Log().Error("what is known can't be told", zap.Error(err))
 		return nil
 	}
 	return b
 }
 
-// Hear takes what another gateway knows, or has found.
-func (c *Recovery) Hear(m Received) {
+// Receive takes what another gateway knows, or has found.
+func (c *Recovery) Receive(m Received) {
 	if m.How == Answer {
 		c.heard(m.Body)
 		return
 	}
 	var x report
 	if err := decode(m.Body, &x); err != nil {
-		c.h.Log().Warn("news are not understood", zap.Error(err))
+		c.host.Log().Warn("news are not understood", zap.Error(err))
 		return
 	}
 	c.take(x.Marks)
@@ -82,7 +82,7 @@
 func (c *Recovery) heard(b []byte) {
 	var w recover.Answer
 	if err := decode(b, &w); err != nil {
-		c.h.Log().Warn("another gateway's word is not understood", zap.Error(err))
+		c.host.Log().Warn("another gateway's word is not understood", zap.Error(err))
 		return
 	}
 	if c.admit != nil {
@@ -93,18 +93,18 @@
 	if c.begun { // the module learns the rest by itself
 		w.Stands, w.Started = nil, nil
 	}
-	c.agreed.Add(&w, c.h.Now())
+	c.agreed.Add(&w, c.host.Now())
 	c.take(w.Marks)
 	c.hold()
 }
 
 // tellFound passes on what was found while the fleet comes back, so that each function is loaded once for all.
 func (c *Recovery) tellFound() {
-	if len(c.found) == 0 || !c.h.May() {
+	if len(c.found) == 0 || !c.host.May() {
 		return
 	}
 	k := min(tellMost, len(c.found))
-	if b, err := msgpack.Marshal(&report{Stands: c.found[:k]}); err != nil || !c.h.News(b) {
+	if b, err := msgpack.Marshal(&report{Stands: c.found[:k]}); err != nil || !c.host.Broadcast(b) {
 		c.late++
 	}
 	c.found = append([]string(nil), c.found[k:]...)
@@ -116,15 +116,15 @@
 		return
 	}
 	k := c.marks.Say(id, banned, since)
-	c.h.SaveSoon()
+	c.host.SaveSoon()
 	b, err := msgpack.Marshal(&report{Marks: recover.Checkpoints{id: k}})
 	if err != nil {
 		c.late++
 		return
 	}
-	c.h.SendAll(b) // it must not be late,
-	c.h.News(b)    // and has to reach those, too, to whom no link comes up
-	c.h.Retell()
+	c.host.SendAll(b)   // it must not be late,
+	c.host.Broadcast(b) // and has to reach those, too, to whom no link comes up
+	c.host.Republish()
 }
 
 // take puts marks of others into effect.
@@ -132,7 +132,7 @@
 	newer, refused := c.marks.Join(m)
 	if refused > 0 {
 		c.late += refused
-		c.h.Log().Warn("marks of other gateways find no room", zap.Int("refused", refused))
+		c.host.Log().Warn("marks of other gateways find no room", zap.Int("refused", refused))
 	}
 	if !c.begun {
 		return
@@ -143,11 +143,11 @@
 		} else {
 			c.gw.CallBack(id)
 		}
-		c.h.Log().Info("another gateway's word on a worker", zap.String("worker", id), zap.Bool("left_out", c.marks[id].Banned))
+		c.host.Log().Info("another gateway's word on a worker", zap.String("worker", id), zap.Bool("left_out", c.marks[id].Banned))
 	}
 	if len(newer) > 0 {
-		c.h.SaveSoon()
-		c.h.Retell()
+		c.host.SaveSoon()
+		c.host.Republish()
 	}
 }
 
@@ -182,7 +182,7 @@
 	}
 	c.gw.Hold(ids)
 	if len(ids) > 0 {
-		c.h.Log().Info("workers that others know to drain are left alone", zap.Int("workers", len(ids)))
+		c.host.Log().Info("workers that others know to drain are left alone", zap.Int("workers", len(ids)))
 	}
 }
 
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -134,8 +134,8 @@
 	})
 }
 
-// Saw counts suspicions of gateways that are there.
-func (h *hollow) Saw(e member.Event, what member.Transition) {
+// MemberChanged counts suspicions of gateways that are there.
+func (h *hollow) MemberChanged(e member.Event, what member.Transition) {
 	h.changed = true
 	if what == member.Changed && e.State >= member.Suspected && e.State != member.Left && h.run.isThere(e.Card.Name) {
 		h.run.wrong.Add(1)
--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -32,6 +32,7 @@
 		return f, err
 	}
 	r.o.Log("%d gateways: all know of all after %.1f s; measuring", size, f.JoinMs/1000)
+	time.Sleep(r.o.Settle)
 	runtime.GC()
 	debug.FreeOSMemory()
 	wrong, lost, sent, got := r.wrong.Load(), r.lost(), r.bytes(0), r.bytes(1)
