--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -15,10 +15,9 @@
 
 const (
 	realGateways = 3
-	seedsEach    = 3               // hollow gateways that are asked first, besides the real ones
-	batch        = 25              // hollow gateways that are started at once
-	joinLimit    = 3 * time.Minute // what gossip has lost is made up by an exchange of states, once a minute in a large fleet
-	knownPart    = 0.95            // of the gateways, that all know before more are started
+	seedsEach    = 3  // hollow gateways that are asked first, besides the real ones
+	batch        = 25 // hollow gateways that are started at once
+	joinLimit    = 90 * time.Second
 	forceLimit   = 15 * time.Second
 	busyPart     = 0.5     // of the machine's cores that a fleet may take in quiet, to be started
 	gcPercent    = 200     // of garbage beside what is in use: many gateways in a process would collect most of the time
@@ -154,9 +153,9 @@
 				h.begin()
 			}
 		}
-		most := int64(knownPart * float64(len(r.hollow)+realGateways))
-		if err := r.await(joinLimit, func(h *hollow) bool { return h.alive.Load() >= most }); err != nil {
-			return fmt.Errorf("at %d: %w", len(r.hollow)+realGateways, err)
+		all := int64(len(r.hollow) + realGateways) // before more are started: else late probes raise suspicions
+		if err := r.await(joinLimit, func(h *hollow) bool { return h.alive.Load() == all }); err != nil {
+			return fmt.Errorf("at %d: %w", all, err)
 		}
 	}
 	return nil
