Read the sockets between gateways until they are closed, so that their end waits for nobody

The same order stood in sort for connections before (shared_transport.go), and had not been met. Ruled out: the library itself, whose own reader goes on until the transport has ended. Change: closing is told first and stop after the sockets are closed; until then all is read and dropped.

--- a/internal/fleet/member/network.go
+++ b/internal/fleet/member/network.go
@@ -67,8 +67,7 @@
 			w.traffic.received.Add(uint64(len(p.Buf)))
 			select {
 			case w.packets <- p:
-			case <-w.stop:
-				return
+			case <-w.closing:
 			}
 		case <-w.stop:
 			return
--- a/internal/fleet/member/shared_transport.go
+++ b/internal/fleet/member/shared_transport.go
@@ -22,17 +22,18 @@
 	via    map[string]string
 	stream chan net.Conn
 	links  func(net.Conn)
-	stop   chan struct{}
+	stop   chan struct{} // closed once the sockets are
 
-	host    net.IP  // that is bound
-	network Network // nil for the machine's own
+	closing chan struct{} // closed before: nothing is handed on any more, but all is read, since the sockets' readers wait for that
+	host    net.IP        // that is bound
+	network Network       // nil for the machine's own
 	packets chan *memberlist.Packet
 	traffic traffic
 }
 
 func newSharedTransport(inner *memberlist.NetTransport, host net.IP, o Options, links func(net.Conn)) *sharedTransport {
 	w := &sharedTransport{NetTransport: inner, host: host, via: o.Via, network: o.Network, stream: make(chan net.Conn, waiting), links: links,
-		stop: make(chan struct{}), packets: make(chan *memberlist.Packet)}
+		stop: make(chan struct{}), closing: make(chan struct{}), packets: make(chan *memberlist.Packet)}
 	go w.sort()
 	go w.receivePackets()
 	return w
@@ -57,7 +58,7 @@
 				default:
 					select {
 					case w.stream <- p:
-					case <-w.stop:
+					case <-w.closing:
 						c.Close()
 					}
 				}
@@ -101,6 +102,7 @@
 	return w.dial(a.Addr, limit)
 }
 func (w *sharedTransport) Shutdown() error {
-	close(w.stop)
+	close(w.closing)
+	defer close(w.stop)
 	return w.NetTransport.Shutdown()
 }
