Keep a hollow gateway's place in itself, and an order's span unmixed

Read again: scale.run kept a map from hosts to numbers that a hollow gateway knows of itself, and Order.begin used the span that it keeps as scratch. Behaviour as before: with no homes left by zone the first place stays 0, as it did.

--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -33,6 +33,7 @@
 type hollow struct {
 	fleet.Base
 	name, host string
+	at         place
 	run        *run
 	loop       *core.Loop
 	node       *fleet.Node
@@ -55,8 +56,8 @@
 
 // newHollow makes a gateway; begin starts it.
 func newHollow(r *run, n int) *hollow {
-	h := &hollow{name: fmt.Sprintf("hollow%04d", n), host: hostName(n), run: r}
-	r.network.add(h.host, placeOf(n))
+	h := &hollow{name: fmt.Sprintf("hollow%04d", n), host: hostName(n), at: placeOf(n), run: r}
+	r.network.add(h.host, h.at)
 	return h
 }
 
@@ -68,7 +69,7 @@
 	h.loop, h.over = core.NewLoop(lifeClock), make(chan struct{})
 	s := &fleet.Settings{Enabled: true, Fleet: "lab", Bind: net.JoinHostPort(h.host, h.run.port), Seeds: h.run.seeds, Dir: os.DevNull, Loads: 16,
 		BootID: os.DevNull, Change: change.Defaults}
-	h.node = fleet.New(h.loop, s, h.name, placeOf(h.run.index[h.host]).region, zap.NewNop())
+	h.node = fleet.New(h.loop, s, h.name, h.at.region, zap.NewNop())
 	h.node.Between(&view{h.run.network, h.host})
 	set := Site()
 	h.node.Add(func(host *fleet.Host) fleet.Part {
@@ -77,7 +78,7 @@
 		return p
 	})
 	h.node.Add(func(host *fleet.Host) fleet.Part {
-		h.agent = agreement.New(host, idleAgent{}, agreement.Options{Name: h.name, Hall: halls()[placeOf(h.run.index[h.host]).region], Halls: halls(), Classes: []string{"read", "command", "once"},
+		h.agent = agreement.New(host, idleAgent{}, agreement.Options{Name: h.name, Hall: halls()[h.at.region], Halls: halls(), Classes: []string{"read", "command", "once"},
 			Tenants: []string{"demo"}, First: h.run.voters, Votes: len(h.run.voters), Replace: time.Minute, Lost: 5 * time.Second,
 			Limits: change.Defaults, Rules: replog.Rules{ClockBoundMs: 500, FreezeAheadMs: 60_000}, ColdFor: set.ColdFor, Session: "key",
 			Version: "v1", Config: "r1"})
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -36,7 +36,6 @@
 	port    string
 	seeds   []string
 	voters  []string
-	index   map[string]int // of hollow gateways, by host
 	hollow  []*hollow
 	wrong   atomic.Int64
 	there   atomic.Pointer[map[string]bool] // names of the gateways that run and are reached
@@ -83,7 +82,7 @@
 	if err := l.StartAll(); err != nil {
 		return err
 	}
-	r := &run{o: o, out: out, lab: l, network: newNetwork(), index: map[string]int{}}
+	r := &run{o: o, out: out, lab: l, network: newNetwork()}
 	for i, g := range l.Gateways {
 		r.voters, r.seeds = append(r.voters, g.Name), append(r.seeds, g.Peer())
 		host, port, err := net.SplitHostPort(g.Peer())
@@ -144,7 +143,6 @@
 		for range min(batch, size-realGateways-len(r.hollow)) {
 			n := len(r.hollow)
 			h := newHollow(r, n)
-			r.index[h.host] = n
 			r.hollow = append(r.hollow, h)
 		}
 		r.settle()
--- a/internal/ranking/ranking.go
+++ b/internal/ranking/ranking.go
@@ -165,11 +165,11 @@
 	if w.Homes >= Most { // more than a gateway uses: each uses its part of them, those of its own zone first
 		o.span = w.Homes
 		o.near = len(w.Zones) == 0 && x.zones[w.Zone] != nil
+		homes := w.Homes
 		if o.near {
-			o.span = max(1, o.span/len(x.zones))
+			homes /= len(x.zones)
 		}
-		o.place = int(Mix(uint64(w.Self), w.Hash) % uint64(max(1, o.span-Most+1)))
-		o.span = w.Homes
+		o.place = int(Mix(uint64(w.Self), w.Hash) % uint64(max(1, homes-Most+1)))
 	}
 }
 
