Reproduce the sends to draining workers during an outage of the list, as a known red test

The stand-in counts what comes once the drain counts as told (7 s after it was published) and the grace is over. A relay stands between each gateway and its bulletin.

--- a/internal/lab/configure.go
+++ b/internal/lab/configure.go
@@ -48,7 +48,7 @@
 	list, revision := g.listTold, g.revision
 	g.mu.Unlock()
 	if list == "" {
-		list = g.bulletin.addr
+		list = g.listLink.Addr()
 	}
 	conf := map[string]any{"name": g.Name, "revision": revision, "listen": g.Addr, "seed": fmt.Sprintf("%016x", l.Seed+uint64(g.n)+1),
 		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 512}, "bulletin": list,
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -20,6 +20,7 @@
 	dir        string
 	config     string
 	bulletin   *bulletin
+	listLink   *Relay   // to its bulletin
 	links      []*Relay // to the workers, by number
 	peer       string   // where other gateways reach it
 	mu         sync.Mutex
@@ -47,6 +48,9 @@
 	if g.bulletin, err = newBulletin(l, g); err != nil {
 		return nil, err
 	}
+	if g.listLink, err = newRelay(l, "127.77.0.1:0", func() string { return g.bulletin.addr }); err != nil {
+		return nil, err
+	}
 	for _, w := range l.Workers {
 		r, err := newRelay(l, fmt.Sprintf("127.77.2.%d:0", n+1), w.at)
 		if err != nil {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -51,6 +51,8 @@
 	fallFor      = 3 * time.Second // so long
 	drainGrace   = 2 * time.Second // after it was told, nothing new may come to a draining worker
 	keyWindow    = 8 * time.Second // workers of a hall drop the repeat of a key for so long
+	toldWithin   = 7 * time.Second // what the list has to tell counts as told, whether it arrived or not
+	acceptsFor   = time.Second     // a worker that drains goes on taking calls for so long
 	queueEach    = 32              // calls that wait for a copy; further ones are turned away
 )
 
@@ -76,6 +78,7 @@
 	counts  Counts
 	store   *store
 	paths   [][]*path // from a gateway to another
+	listCut bool      // no gateway reaches its bulletin
 
 	confined *confined
 	ranAt    map[string]int // halls of requests
@@ -84,16 +87,17 @@
 
 // Counts is what the stand-ins have seen.
 type Counts struct {
-	Kills     int // gateways killed
-	Runs      int // executions of calls
-	Twice     int // requests that ran twice though their class forbids it, keyed ones within a hall and its window
-	Dropped   int // repeats of a key that workers dropped
-	LateSends int // calls and orders that came to a worker later than the grace after its drain was told
-	Fell      int // cold workers pushed over
-	Loads     int // copies loaded
-	Pushed    int // times that the store was pushed over
-	Outside   int // commands, and loads for them, at a hall where they may not be
-	Split     int // sessions that were at two halls in one epoch
+	Kills      int // gateways killed
+	Runs       int // executions of calls
+	Twice      int // requests that ran twice though their class forbids it, keyed ones within a hall and its window
+	Dropped    int // repeats of a key that workers dropped
+	LateSends  int // calls and orders that came to a worker later than the grace after its drain was told
+	TurnedAway int // calls that came to a worker that drains
+	Fell       int // cold workers pushed over
+	Loads      int // copies loaded
+	Pushed     int // times that the store was pushed over
+	Outside    int // commands, and loads for them, at a hall where they may not be
+	Split      int // sessions that were at two halls in one epoch
 }
 
 // New prepares a lab: workers listen, bulletins are ready, gateways have their addresses and are not started yet.
--- a/internal/lab/serve.go
+++ b/internal/lab/serve.go
@@ -54,7 +54,11 @@
 		case "LOAD":
 			go w.order(words[1], fields(words[2]), say)
 		case "PING", "STATS":
-			say("%s UP %s 0\r\n\r\n", words[1], w.use(""))
+			word := "UP"
+			if w.draining(0) {
+				word = "DOWN"
+			}
+			say("%s %s %s 0\r\n\r\n", words[1], word, w.use(""))
 		}
 	}
 }
@@ -147,6 +151,11 @@
 	if !ok {
 		return
 	}
+	if w.draining(acceptsFor) {
+		w.lab.count(func(c *Counts) { c.TurnedAway++ })
+		say("%s BUSY %s 0\r\n\r\n", id, w.use(""))
+		return
+	}
 	i, how := w.copyOf(f["path"])
 	w.mu.Lock()
 	if i.waiting >= queueEach {
--- a/internal/lab/worker.go
+++ b/internal/lab/worker.go
@@ -26,7 +26,8 @@
 	fallen   bool
 	hung     bool      // says nothing more, as a machine that has vanished
 	banned   bool      // for good
-	drained  time.Time // when all were told that it drains, or zero
+	drained  time.Time // when all were told that it drains, or count as told, or zero
+	drains   time.Time // when it began to drain, or zero
 	life     int       // a call of a former life is not answered
 }
 
@@ -98,6 +99,7 @@
 	}
 	w.mu.Lock()
 	w.started, w.sends, w.fallen, w.hung = time.Now(), nil, false, false
+	w.drains = time.Time{}
 	if !w.banned {
 		w.drained = time.Time{}
 	}
@@ -108,10 +110,12 @@
 	return nil
 }
 
-// Drain has the bulletin say that the worker takes nothing new; it goes on with what it has.
+// Drain has the bulletin say that the worker takes nothing new; it goes on with what it has, and for acceptsFor with what
+// comes. Then it turns calls away.
 func (w *Worker) Drain() {
+	told := w.lab.listsTold(time.Now())
 	w.mu.Lock()
-	w.drained = time.Now()
+	w.drains, w.drained = time.Now(), told
 	w.mu.Unlock()
 	w.lab.Logf("%s drains", w.Name())
 	w.lab.tell(w, 1, time.Time{})
