--- a/decide/failures_test.go
+++ b/decide/failures_test.go
@@ -128,3 +128,22 @@
 		t.Error("every worker was set aside")
 	}
 }
+
+// What the gateway's own machine lacks for a moment is not held against the worker, nor against the copies there.
+func TestLocalFaultIsNotTheWorkers(t *testing.T) {
+	f := start(t, site(), 2)
+	home := f.warm(0, "a")
+	for range 3 {
+		id := f.call(0, 0, "a")
+		s := f.of(id)[0]
+		if s.host != home {
+			t.Fatalf("sent to %s, the copy is at %s", s.host, home)
+		}
+		f.do(ClientGone{ID: id})
+		f.do(Result{ID: id, Host: s.host, Outcome: NoConn, Note: LocalFault, Final: true, Crowd: -1})
+		f.pass(20 * time.Millisecond)
+	}
+	if f.r.Avoids(home) {
+		t.Error("the worker is set aside")
+	}
+}
--- a/decide/health.go
+++ b/decide/health.go
@@ -97,6 +97,8 @@
 	case Bad, Late, NoConn, Reset:
 		if e.Note == NobodyListens {
 			r.stopped(w)
+		} else if e.Note == LocalFault { // says nothing of the worker
+			return
 		}
 		w.failedAt = cmp.Or(w.failedAt, r.now)
 		dead := e.Outcome == NoConn || e.Outcome == Reset && w.failedAt < r.now // not one connection
--- a/decide/reason.go
+++ b/decide/reason.go
@@ -47,4 +47,5 @@
 	WaitedLoad      // it waited for a load begun before
 	LoadFailed
 	NobodyListens // of NoConn: the connection was refused
+	LocalFault    // of NoConn: the gateway's own machine had no socket for it
 )
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -3,6 +3,7 @@
 package fleettest
 
 import (
+	"fmt"
 	"os"
 	"strconv"
 	"testing"
@@ -12,10 +13,15 @@
 	"quillrail/internal/fleet"
 	"quillrail/internal/fleet/safeguard"
 	"quillrail/internal/lab"
+	"quillrail/internal/lab/sysfault"
 )
 
 // TestMain lets the test's program stand for the gateway's.
 func TestMain(m *testing.M) {
+	if err := sysfault.Enter(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 	if os.Getenv("QUILLRAIL_TEST_PROCESS") != "" {
 		fleet.TrustAll = os.Getenv("QUILLRAIL_TEST_TRUST_ALL") != ""
 		safeguard.Disabled = os.Getenv("QUILLRAIL_TEST_GUARD")
@@ -38,6 +44,16 @@
 
 // start brings a fleet up.
 func start(t *testing.T, o lab.Options) *lab.Lab {
+	t.Helper()
+	l := prepare(t, o)
+	if err := l.StartAll(); err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// prepare is a fleet whose gateways are not started yet.
+func prepare(t *testing.T, o lab.Options) *lab.Lab {
 	t.Helper()
 	o.Program, o.Env = []string{os.Args[0], "serve", "--mqtt", "none"}, append(o.Env, "QUILLRAIL_TEST_PROCESS=1")
 	o.Dir, o.Seed, o.Log = t.TempDir(), seed(), logger{t}
@@ -53,9 +69,6 @@
 		}
 		l.Close()
 	})
-	if err := l.StartAll(); err != nil {
-		t.Fatal(err)
-	}
 	return l
 }
 
--- /dev/null
+++ b/internal/fleettest/syscalls_test.go
@@ -0,0 +1,113 @@
+package fleettest
+
+import (
+	"math/rand/v2"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"golang.org/x/sys/unix"
+
+	"quillrail/internal/lab"
+	"quillrail/internal/lab/sysfault"
+)
+
+// failing has a part of the calls with a number fail, each with an error that is drawn, if on says so.
+func failing(part float64, on func(sysfault.Call) bool, errors ...unix.Errno) sysfault.Policy {
+	rng := rand.New(rand.NewPCG(seed(), 21))
+	return func(c sysfault.Call) unix.Errno {
+		if rng.Float64() >= part || on != nil && !on(c) {
+			return 0
+		}
+		return errors[rng.IntN(len(errors))]
+	}
+}
+
+func onSocket(c sysfault.Call) bool { return strings.HasPrefix(c.File(), "socket:") }
+
+// onTCP is a new socket for TCP, and not one that the program asks the kernel by.
+func onTCP(c sysfault.Call) bool {
+	return c.Args[0] == unix.AF_INET && c.Args[1]&0xf == unix.SOCK_STREAM
+}
+
+// inTurns has a policy hold for a few hundred calls of every so many.
+func inTurns(policy sysfault.Policy, length int64) sysfault.Policy {
+	var n atomic.Int64
+	return func(c sysfault.Call) unix.Errno {
+		if n.Add(1)/length%2 == 0 {
+			return 0
+		}
+		return policy(c)
+	}
+}
+
+// System calls of real gateways fail, some for a moment and some for all of it: no call is lost, no rule is broken, and a
+// fault of the gateway's own machine is not taken for one of the workers.
+func TestSystemCallsFail(t *testing.T) {
+	for name, c := range map[string]struct {
+		numbers []int
+		policy  sysfault.Policy
+	}{
+		"accept": {[]int{unix.SYS_ACCEPT4},
+			failing(0.5, nil, unix.ECONNABORTED, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM, unix.EINTR)},
+		"socket": {[]int{unix.SYS_SOCKET}, failing(0.9, onTCP, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM)},
+		"connect": {[]int{unix.SYS_CONNECT},
+			failing(0.9, onSocket, unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.ENOBUFS, unix.EINTR)},
+		"unreachable": {[]int{unix.SYS_CONNECT}, failing(0.3, onSocket, unix.ETIMEDOUT, unix.EHOSTUNREACH, unix.ECONNREFUSED)},
+		"interrupted": {[]int{unix.SYS_READ, unix.SYS_WRITE, unix.SYS_EPOLL_WAIT, unix.SYS_EPOLL_PWAIT},
+			failing(0.2, func(c sysfault.Call) bool {
+				return c.Number != unix.SYS_READ && c.Number != unix.SYS_WRITE || onSocket(c)
+			}, unix.EINTR)},
+		"all in turns": {[]int{unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT}, inTurns(failing(1, func(c sysfault.Call) bool {
+			return c.Number == unix.SYS_ACCEPT4 || c.Number == unix.SYS_SOCKET && onTCP(c) || c.Number == unix.SYS_CONNECT && onSocket(c)
+		}, unix.ENOBUFS, unix.ENFILE), 40)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			beside(t)
+			o := lab.Options{Gateways: 2}
+			supervisors := []*sysfault.Supervisor{sysfault.New(c.numbers...), sysfault.New(c.numbers...)}
+			l := prepare(t, o)
+			for i, g := range l.Gateways {
+				g.Supervise(supervisors[i])
+			}
+			if err := l.StartAll(); err != nil {
+				t.Fatal(err)
+			}
+			tr := l.Start(mixed)
+			served(t, tr, 100)
+			for _, s := range supervisors {
+				s.Set(c.policy)
+			}
+			for range 5 { // connections have to be made anew
+				served(t, tr, 80)
+				for _, g := range l.Gateways {
+					g.ListLink().Reset()
+					for w := range l.Workers {
+						g.Link(w).Reset()
+					}
+				}
+			}
+			for _, s := range supervisors {
+				s.Set(nil)
+			}
+			served(t, tr, 100)
+			for i, s := range supervisors {
+				told, failed := s.Counts()
+				t.Logf("gateway %d: %d of %d calls failed", i+1, failed, told)
+				if failed == 0 {
+					t.Error("no call failed")
+				}
+			}
+			n := verdict(t, l, tr)
+			mostServed(t, n)
+			if n.Unanswered+n.Unreached > 0 {
+				t.Errorf("calls were lost: %+v\n%q", n, tr.Faults())
+			}
+			for _, g := range l.Gateways {
+				if !g.Process().Runs() {
+					t.Errorf("%s has ended:\n%s", g.Name, g.Process().Log())
+				}
+			}
+		})
+	}
+}
--- a/internal/fleettest/version_test.go
+++ b/internal/fleettest/version_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"quillrail/internal/core"
@@ -17,6 +18,9 @@
 	if ms, err := strconv.Atoi(os.Getenv("QUILLRAIL_TEST_CLOCK_MS")); err == nil {
 		lifecycle.Clock = func() time.Duration { return core.WallClock() + time.Duration(ms)*time.Millisecond }
 	}
+	if file := os.Getenv("QUILLRAIL_TEST_CLOCK_FILE"); file != "" {
+		lifecycle.Clock = core.NewSteadyClock(stepped(file)).Now
+	}
 	switch os.Getenv("QUILLRAIL_TEST_FAULT") {
 	case "crash":
 		os.Exit(3)
@@ -25,6 +29,24 @@
 	}
 }
 
+// stepped reads the system's clocks with the wall clock as far off as a file says, which is read every few ms.
+func stepped(file string) func() core.Reading {
+	var step atomic.Int64
+	go func() {
+		for range time.Tick(10 * time.Millisecond) {
+			if text, err := os.ReadFile(file); err == nil {
+				n, _ := strconv.ParseInt(string(text), 10, 64)
+				step.Store(n)
+			}
+		}
+	}()
+	return func() core.Reading {
+		r := core.SystemReading()
+		r.Unix += time.Duration(step.Load())
+		return r
+	}
+}
+
 type sheds struct{ httpfront.Taker }
 
 func (s sheds) Take(c core.Call) core.Ref {
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"quillrail/internal/lab/sysfault"
 )
 
 // Gateway is one gateway of the fleet, by its name and address; processes of it come and go.
@@ -24,16 +26,17 @@
 	links      []*Relay // to the workers, by number
 	peer       string   // where other gateways reach it
 	mu         sync.Mutex
-	procs      []*Process   // all that were started, the last one in front of clients
-	ending     atomic.Int64 // when it was asked to end, in Unix ns; 0 if it takes clients
-	unready    atomic.Int64 // when it was seen to send clients away, in Unix ns; 0 if it does not
-	version    string       // of the process that is started next,
-	env        []string     // and what it finds in the environment besides
-	revision   string       // of the configuration
-	listTold   string       // where it says that the bulletin is, "" for the first address
-	changing   atomic.Bool  // a process of another version is taking over
-	unwilling  atomic.Int64 // when it was killed or stopped, in Unix ns; 0 once it goes on
-	lost       atomic.Int64 // when it was last killed or went on after a stop, in Unix ns
+	procs      []*Process           // all that were started, the last one in front of clients
+	ending     atomic.Int64         // when it was asked to end, in Unix ns; 0 if it takes clients
+	unready    atomic.Int64         // when it was seen to send clients away, in Unix ns; 0 if it does not
+	version    string               // of the process that is started next,
+	env        []string             // and what it finds in the environment besides
+	revision   string               // of the configuration
+	listTold   string               // where it says that the bulletin is, "" for the first address
+	supervisor *sysfault.Supervisor // of its processes' system calls, nil for none
+	changing   atomic.Bool          // a process of another version is taking over
+	unwilling  atomic.Int64         // when it was killed or stopped, in Unix ns; 0 once it goes on
+	lost       atomic.Int64         // when it was last killed or went on after a stop, in Unix ns
 }
 
 func newGateway(l *Lab, n int) (g *Gateway, err error) {
@@ -62,6 +65,13 @@
 	return g, l.configure(g)
 }
 
+// Supervise has the system calls of the processes that are started from now on answered by a supervisor.
+func (g *Gateway) Supervise(s *sysfault.Supervisor) {
+	g.mu.Lock()
+	g.supervisor = s
+	g.mu.Unlock()
+}
+
 // Link is the relay between the gateway and a worker.
 func (g *Gateway) Link(worker int) *Relay { return g.links[worker] }
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -35,6 +35,7 @@
 	ColdFor   time.Duration // a worker that starts is warm after
 	ColdFrom  float64       // and begins with this part of its capacity
 	Unprobed  bool          // gateways may not probe workers
+	ClockFile string        // where gateways read by how much their wall clock has been stepped, in ns; empty where it never is
 	Fleet     bool          // gateways know each other and keep their state on disk
 	Paths     bool          // gateways reach each other by relays, so that they can be cut from each other
 	Voters    int           // gateways that hold the log of what the fleet agrees on, 0 for no agreement; the first ones, of different halls
@@ -78,8 +79,9 @@
 	keyed   map[string]time.Time // when a key last ran in a hall
 	counts  Counts
 	store   *store
-	paths   [][]*path // from a gateway to another
-	listCut bool      // no gateway reaches its bulletin
+	paths   [][]*path     // from a gateway to another
+	listCut bool          // no gateway reaches its bulletin
+	step    time.Duration // of the wall clocks so far
 
 	confined *confined
 	ranAt    map[string]int // halls of requests
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -37,7 +37,7 @@
 func (l *Lab) start(g *Gateway) (*Process, error) {
 	args := append([]string(nil), l.Program[1:]...)
 	g.mu.Lock()
-	version, own := g.version, g.env
+	version, own, supervisor := g.version, g.env, g.supervisor
 	env := own
 	g.mu.Unlock()
 	if l.EnvOf != nil {
@@ -53,13 +53,20 @@
 	cmd.Dir = g.dir
 	cmd.Env = append(append(os.Environ(), "NODE_CONFIG="+g.config, "TMPDIR="+g.dir,
 		fmt.Sprintf("NODE_OPERATOR=127.77.3.%d:0", g.n+1), "QUILLRAIL_TEST_VERSION="+version), append(append([]string(nil), l.Env...), env...)...)
+	if l.ClockFile != "" {
+		cmd.Env = append(cmd.Env, "QUILLRAIL_TEST_CLOCK_FILE="+l.ClockFile)
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, in, err := os.Pipe()
 	if err != nil {
 		return nil, err
 	}
 	cmd.Stderr = in
-	err = cmd.Start()
+	if supervisor != nil {
+		err = supervisor.Start(cmd)
+	} else {
+		err = cmd.Start()
+	}
 	in.Close()
 	if err != nil {
 		out.Close()
--- a/internal/lab/worker.go
+++ b/internal/lab/worker.go
@@ -106,7 +106,7 @@
 	at := w.started
 	w.mu.Unlock()
 	w.lab.Logf("%s is started anew", w.Name())
-	w.lab.tell(w, 0, at)
+	w.lab.tell(w, 0, w.lab.wall(at))
 	return nil
 }
 
--- a/internal/wire/sock/sock.go
+++ b/internal/wire/sock/sock.go
@@ -167,34 +167,5 @@
 	return n.engine.Addrs[0]
 }
 
-// Dial opens a connection whose bytes go to h. done is called once, with the connection or with an error, on a
-// goroutine of its own; h may be told of the end before that.
-//
-// The connect is the standard library's, since nbio 1.6.8 takes the first four bytes of a 16-byte address and so
-// connects to 0.0.0.0, and reports a refused connect as done; from then on the socket is nbio's.
-func (n *Net) Dial(addr string, timeout time.Duration, h Handler, done func(Conn, error)) {
-	go func() {
-		std, err := net.DialTimeout("tcp", addr, timeout)
-		if err != nil {
-			done(nil, err)
-			return
-		}
-		c, err := nbio.NBConn(std) // takes a copy of the descriptor and closes std
-		if err != nil {
-			std.Close()
-			done(nil, err)
-			return
-		}
-		s := new(session)
-		s.set(h, false)
-		c.SetSession(s)
-		if _, err := n.engine.AddConn(c); err != nil {
-			done(nil, err)
-			return
-		}
-		done(&conn{c, s, n}, nil) // not before: a write needs the engine
-	}()
-}
-
 // Stop closes the listener and every connection.
 func (n *Net) Stop() { n.engine.Stop() }
--- a/internal/wire/workerlink/conn.go
+++ b/internal/wire/workerlink/conn.go
@@ -194,10 +194,13 @@
 	return zapcore.DebugLevel
 }
 
-// refusal notes that nobody listens at the worker's address.
-func refusal(why error) decide.Note {
-	if errors.Is(why, syscall.ECONNREFUSED) {
+// cause notes what an error says of a worker: that nobody listens at its address, or nothing.
+func cause(why error) decide.Note {
+	switch {
+	case errors.Is(why, syscall.ECONNREFUSED):
 		return decide.NobodyListens
+	case sock.LocalFault(why):
+		return decide.LocalFault
 	}
 	return decide.NoNote
 }
@@ -228,7 +231,7 @@
 		}
 	}
 	for _, ref := range slices.Sorted(maps.Values(c.open)) {
-		end := core.End{How: how, Note: refusal(why)}
+		end := core.End{How: how, Note: cause(why)}
 		if unwritten[ref] {
 			end.How = decide.NoConn
 		}
