--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -51,6 +51,7 @@
 const (
 	fallMultiple = 2.5             // of its present capacity a cold worker bears, over
 	fallFor      = 3 * time.Second // so long
+	deadline     = 2 * time.Second // of every class
 	drainGrace   = 2 * time.Second // after it was told, nothing new may come to a draining worker
 	keyWindow    = 8 * time.Second // workers of a hall drop the repeat of a key for so long
 	toldWithin   = 7 * time.Second // what the list has to tell counts as told, whether it arrived or not
@@ -70,18 +71,18 @@
 	Gateways []*Gateway
 	Workers  []*Worker
 
-	peers   int // the port at which gateways reach each other
-	mu      sync.Mutex
-	rng     *rand.Rand
-	begun   time.Time
-	closers []func()
-	runs    map[string]int       // executions by request
-	keyed   map[string]time.Time // when a key last ran in a hall
-	counts  Counts
-	store   *store
-	paths   [][]*path     // from a gateway to another
-	listCut bool          // no gateway reaches its bulletin
-	step    time.Duration // of the wall clocks so far
+	peers         int // the port at which gateways reach each other
+	mu            sync.Mutex
+	rng           *rand.Rand
+	begun         time.Time
+	closers       []func()
+	runs          map[string]int       // executions by request
+	keyed         map[string]time.Time // when a key last ran in a hall
+	counts        Counts
+	store         *store
+	paths         [][]*path     // from a gateway to another
+	listsImpaired bool          // some gateway does not hear its bulletin in time
+	step          time.Duration // of the wall clocks so far
 
 	confined *confined
 	ranAt    map[string]int // halls of requests
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -29,6 +30,8 @@
 	wg   sync.WaitGroup
 	http *http.Client
 
+	crowded atomic.Int64 // calls of crowds so far
+
 	mu      sync.Mutex
 	totals  Totals
 	latency *hdrhistogram.Histogram // microseconds, from the intended start to a served answer
