--- a/internal/fleettest/outage_test.go
+++ b/internal/fleettest/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"quillrail/internal/lab"
 )
@@ -49,3 +50,25 @@
 		t.Errorf("%d of %d calls were not served: %+v", bad, n.Calls, n)
 	}
 }
+
+// Gateways of little traffic each, which may not probe: while the lists are silent for long and workers drain one after the
+// other, each goes on with those that it has seen to serve, and most calls are served.
+func TestLongOutageWithLittleTraffic(t *testing.T) {
+	beside(t)
+	l := start(t, lab.Options{Gateways: 6, Workers: 9, Halls: 3, Unprobed: true})
+	tr := l.Start(lab.Load{Rate: 24, Functions: 12, Wait: 2 * time.Second, Unsafe: 0.2, Keyed: 0.3, Tries: 3})
+	served(t, tr, 150)
+	l.CutLists()
+	for _, w := range l.Workers[:2] {
+		served(t, tr, 50)
+		w.Drain()
+	}
+	for !l.Workers[1].GraceIsOver() {
+		served(t, tr, 20)
+	}
+	served(t, tr, 150)
+	n := verdict(t, l, tr)
+	if bad := n.Refused + n.Failed + n.Unanswered + n.Unreached; bad > n.Calls/3 {
+		t.Errorf("%d of %d calls were not served: %+v", bad, n.Calls, n)
+	}
+}
--- a/internal/fleettest/soak_test.go
+++ b/internal/fleettest/soak_test.go
@@ -132,6 +132,7 @@
 	for _, i := range drained {
 		s.l.Workers[i].Drain()
 	}
+	s.change(s.gateway())
 	if s.serve(200 + s.rng.IntN(1500)); long {
 		s.graceIsOver(s.l.Workers[drained[0]])
 	}
@@ -144,6 +145,22 @@
 	s.serve(100)
 }
 
+// change has a gateway killed, ended or upgraded, or nothing happen to it.
+func (s *soak) change(g *lab.Gateway) {
+	switch s.rng.IntN(4) {
+	case 0:
+		g.Kill()
+		s.serve(40)
+		s.start(g)
+	case 1:
+		s.end(g)
+	case 2:
+		if err := g.Upgrade(); err != nil {
+			s.t.Error(err)
+		}
+	}
+}
+
 // play plays a plan of so many steps.
 func (s *soak) play(steps int) {
 	names := slices.Sorted(func(yield func(string) bool) {
--- a/internal/lab/bulletin.go
+++ b/internal/lab/bulletin.go
@@ -61,6 +61,14 @@
 	}
 }
 
+// unixMilli is a start as the list tells it, 0 for long ago.
+func unixMilli(started time.Time) int64 {
+	if started.IsZero() {
+		return 0
+	}
+	return started.UnixMilli()
+}
+
 func frame(no uint64, kind byte, payload []byte) []byte {
 	b := binary.BigEndian.AppendUint32(nil, uint32(9+len(payload)))
 	b = append(binary.BigEndian.AppendUint64(b, no), kind)
@@ -75,11 +83,7 @@
 	r = binary.BigEndian.AppendUint16(append(r, ip[:]...), at.Port())
 	r = binary.BigEndian.AppendUint16(append(r, state, byte(w.Hall), 0), 0)
 	r = binary.BigEndian.AppendUint32(r, 1000)
-	ms := uint64(0)
-	if !started.IsZero() {
-		ms = uint64(started.UnixMilli())
-	}
-	r = binary.BigEndian.AppendUint64(r, ms)
+	r = binary.BigEndian.AppendUint64(r, uint64(unixMilli(started)))
 	b.mu.Lock()
 	b.frames = append(b.frames, frame(uint64(len(b.frames))+2, 2, r))
 	close(b.more)
@@ -87,6 +91,13 @@
 	b.mu.Unlock()
 }
 
+// last is the number of the last event.
+func (b *bulletin) last() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.frames) + 1
+}
+
 // Mute has a gateway hear nothing new of the workers until it is ended.
 func (g *Gateway) Mute(on bool) {
 	b := g.bulletin
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// faultsKept is how many of the ends without an answer are kept for telling what went wrong.
+const faultsKept = 20
+
 // request is one client's request with its tries, the first at its own gateway and the others at the next ones.
 func (t *Traffic) request(n int, kind byte, fn, at int, due time.Time) {
 	defer t.wg.Done()
@@ -32,6 +35,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.late.RecordValue(max(1, lag.Microseconds()))
+	if met := t.met[body]; end == "unanswered" && len(t.faults) < faultsKept {
+		t.faults = append(t.faults, met)
+	}
+	delete(t.met, body)
 	s := &t.totals
 	s.Calls++
 	b := t.bin(due, body[0])
@@ -89,6 +96,7 @@
 	if body[0] == 'c' {
 		req.Header.Set("Req-Token", body)
 	}
+	begun := time.Now()
 	client := *by
 	client.Timeout = t.load.Wait + time.Second
 	resp, err := client.Do(req)
@@ -97,9 +105,7 @@
 			return "unreached"
 		}
 		t.mu.Lock()
-		if len(t.faults) < 20 {
-			t.faults = append(t.faults, fmt.Sprintf("%s by %s: %v", body, addr, err))
-		}
+		t.met[body] = fmt.Sprintf("%7.3fs %s by %s, begun %v before: %v", time.Since(t.lab.begun).Seconds(), body, addr, time.Since(begun), err)
 		t.mu.Unlock()
 		return "unanswered"
 	}
--- a/internal/lab/configure.go
+++ b/internal/lab/configure.go
@@ -31,10 +31,12 @@
 
 // configure writes the configuration of a gateway.
 func (l *Lab) configure(g *Gateway) error {
+	last := g.bulletin.last()
 	var members []any
 	for _, w := range l.Workers {
+		phase, started := w.listed()
 		members = append(members, map[string]any{"id": w.Name(), "host_port": g.links[w.n].Addr(), "locality": hall(w.Hall), "flavor": "std",
-			"cell": 0, "phase": "active", "size": 1, "up_since_ms": 0})
+			"cell": 0, "phase": phase, "size": 1, "up_since_ms": started})
 	}
 	var halls []string
 	for i := range l.Halls {
@@ -52,7 +54,7 @@
 	}
 	conf := map[string]any{"name": g.Name, "revision": revision, "listen": g.Addr, "seed": fmt.Sprintf("%016x", l.Seed+uint64(g.n)+1),
 		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 512}, "bulletin": list,
-		"known": map[string]any{"no": 1, "items": []any{map[string]any{"no": 1, "roster": map[string]any{"revision": 1,
+		"known": map[string]any{"no": last, "items": []any{map[string]any{"no": last, "roster": map[string]any{"revision": 1,
 			"complete": true, "members": members}}}},
 		"settings": map[string]any{"azs": halls, "kinds": []string{"std"}, "balancers": len(l.Gateways) + 1, "slot-no": g.n,
 			"zone": g.Hall, "classes": []any{class("read", "idempotent", "all", 1), class("command", "deduplicated", "zone", 3),
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -39,15 +39,16 @@
 	waits   []waiter
 	marks   []Milestone
 	begun   time.Time
-	bins    [][3]bin // of 0.1 s by when requests were due, by class
-	faults  []string // what clients met instead of an answer, the first few
+	bins    [][3]bin          // of 0.1 s by when requests were due, by class
+	met     map[string]string // what clients last met instead of an answer, by the request's body
+	faults  []string          // of these, the first few that were left without an answer
 }
 
 // Start has clients call until the traffic is ended.
 func (l *Lab) Start(o Load) *Traffic {
 	t := &Traffic{lab: l, load: o, stop: make(chan struct{}),
-		http:    &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-		latency: hdrhistogram.New(1, 60_000_000, 3), late: hdrhistogram.New(1, 60_000_000, 3)}
+		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		met:  map[string]string{}, latency: hdrhistogram.New(1, 60_000_000, 3), late: hdrhistogram.New(1, 60_000_000, 3)}
 	t.begun = time.Now()
 	if o.Rate > 0 {
 		t.wg.Add(1)
--- a/internal/lab/outage.go
+++ b/internal/lab/outage.go
@@ -53,6 +53,16 @@
 	return !w.drained.IsZero() && time.Since(w.drained) > drainGrace
 }
 
+// listed is the worker's phase and start as the list has them.
+func (w *Worker) listed() (phase string, started int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if phase = "active"; !w.drains.IsZero() {
+		phase = "leaving"
+	}
+	return phase, w.toldStart
+}
+
 // draining reports whether the worker has been draining for so long.
 func (w *Worker) draining(long time.Duration) bool {
 	w.mu.Lock()
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -35,6 +35,9 @@
 
 // start starts a process that is ended with the lab, and when the lab's own process dies.
 func (l *Lab) start(g *Gateway) (*Process, error) {
+	if err := l.configure(g); err != nil { // with what the list has told so far
+		return nil, err
+	}
 	args := append([]string(nil), l.Program[1:]...)
 	g.mu.Lock()
 	version, own, supervisor := g.version, g.env, g.supervisor
--- a/internal/lab/worker.go
+++ b/internal/lab/worker.go
@@ -14,21 +14,22 @@
 	lab  *Lab
 	n    int
 
-	mu       sync.Mutex
-	ln       net.Listener
-	addr     string
-	conns    map[net.Conn]bool
-	copies   map[string]*instance
-	inflight int
-	loading  int
-	started  time.Time // zero: warm for long
-	sends    []time.Time
-	fallen   bool
-	hung     bool      // says nothing more, as a machine that has vanished
-	banned   bool      // for good
-	drained  time.Time // when all were told that it drains, or count as told, or zero
-	drains   time.Time // when it began to drain, or zero
-	life     int       // a call of a former life is not answered
+	mu        sync.Mutex
+	ln        net.Listener
+	addr      string
+	conns     map[net.Conn]bool
+	copies    map[string]*instance
+	inflight  int
+	loading   int
+	started   time.Time // zero: warm for long
+	sends     []time.Time
+	fallen    bool
+	hung      bool      // says nothing more, as a machine that has vanished
+	banned    bool      // for good
+	drained   time.Time // when all were told that it drains, or count as told, or zero
+	drains    time.Time // when it began to drain, or zero
+	toldStart int64     // when it was started, as the list tells it
+	life      int       // a call of a former life is not answered
 }
 
 // instance is the copies of a function at a worker.
@@ -103,10 +104,11 @@
 	if !w.banned {
 		w.drained = time.Time{}
 	}
-	at := w.started
+	at := w.lab.wall(w.started)
+	w.toldStart = unixMilli(at)
 	w.mu.Unlock()
 	w.lab.Logf("%s is started anew", w.Name())
-	w.lab.tell(w, 0, w.lab.wall(at))
+	w.lab.tell(w, 0, at)
 	return nil
 }
 
