--- a/internal/fleettest/faults_test.go
+++ b/internal/fleettest/faults_test.go
@@ -1,6 +1,7 @@
 package fleettest
 
 import (
+	"maps"
 	"math/rand/v2"
 	"os"
 	"regexp"
@@ -169,20 +170,7 @@
 	settled(t, l)
 	l.Supervise(versionsOf(""))
 	s := &storm{t, l, tr, rand.New(rand.NewPCG(seed(), 11)), map[string]int{}}
-	names := slices.Sorted(func(yield func(string) bool) {
-		for n := range faults {
-			if !yield(n) {
-				return
-			}
-		}
-	})
-	var plan []string
-	for i := range rounds {
-		if i%len(names) == 0 {
-			s.rng.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
-		}
-		plan = append(plan, names[i%len(names)])
-	}
+	plan := drawPlan(s.rng, faults, rounds)
 	t.Logf("plan: %s", strings.Join(plan, "; "))
 	asked(t, l.Gateways[5], "declare release name=two by=anna version=v2 prove_s=1 most_s=2 step_s=20")
 	for _, what := range plan {
@@ -203,3 +191,15 @@
 	}
 	answered(t, n, tr)
 }
+
+// drawPlan is so many names of what may happen, each as often as any other, in an order that is drawn.
+func drawPlan[Step any](rng *rand.Rand, steps map[string]Step, length int) (plan []string) {
+	names := slices.Sorted(maps.Keys(steps))
+	for i := range length {
+		if i%len(names) == 0 {
+			rng.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
+		}
+		plan = append(plan, names[i%len(names)])
+	}
+	return plan
+}
--- a/internal/fleettest/soak_test.go
+++ b/internal/fleettest/soak_test.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -163,20 +162,7 @@
 
 // play plays a plan of so many steps.
 func (s *soak) play(steps int) {
-	names := slices.Sorted(func(yield func(string) bool) {
-		for name := range soakSteps {
-			if !yield(name) {
-				return
-			}
-		}
-	})
-	var plan []string
-	for i := range steps {
-		if i%len(names) == 0 {
-			s.rng.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
-		}
-		plan = append(plan, names[i%len(names)])
-	}
+	plan := drawPlan(s.rng, soakSteps, steps)
 	s.t.Logf("plan: %s", strings.Join(plan, "; "))
 	for _, name := range plan {
 		s.l.Logf("%s", name)
--- a/internal/fleettest/syscalls_test.go
+++ b/internal/fleettest/syscalls_test.go
@@ -1,6 +1,7 @@
 package fleettest
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"sync/atomic"
@@ -111,3 +112,27 @@
 		})
 	}
 }
+
+// What passes between gateways, workers and lists comes in pieces of a few bytes, each way: reads come short, and nothing is
+// lost, misread or taken for silence.
+func TestShortReads(t *testing.T) {
+	for _, piece := range []int{1, 7} {
+		t.Run(fmt.Sprint(piece), func(t *testing.T) {
+			beside(t)
+			l := start(t, lab.Options{Gateways: 2})
+			for _, g := range l.Gateways {
+				g.ListLink().Set(lab.Fault{Piece: piece}, lab.Fault{Piece: piece})
+				for w := range l.Workers {
+					g.Link(w).Set(lab.Fault{Piece: piece}, lab.Fault{Piece: piece})
+				}
+			}
+			tr := l.Start(mixed)
+			served(t, tr, 200)
+			l.Workers[0].Drain()
+			served(t, tr, 300)
+			if n := verdict(t, l, tr); n.Served != n.Calls {
+				t.Errorf("calls were not served: %+v\n%q", n, tr.Faults())
+			}
+		})
+	}
+}
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -13,6 +13,7 @@
 	Drop  bool          // what passes is lost, and the sender sees nothing of it
 	Hold  bool          // what passes waits until the fault is over, as TCP has it wait for a link that comes back
 	Rate  int           // bytes a second at most, 0 for no limit
+	Piece int           // bytes that are passed on at a time at most, 0 for all: reads and writes come short
 }
 
 // Relay passes TCP connections on, each direction with faults of its own. One direction dropped alone is a half-open
@@ -156,7 +157,7 @@
 			if wait > 0 {
 				time.Sleep(wait) // the relay's fault is to take time
 			}
-			if _, err := to.Write(buf[:n]); err != nil {
+			if err := inPieces(to, buf[:n], f.Piece); err != nil {
 				return
 			}
 		}
@@ -165,3 +166,18 @@
 		}
 	}
 }
+
+// inPieces writes all, so many bytes at a time at most.
+func inPieces(to io.Writer, all []byte, most int) error {
+	if most <= 0 {
+		most = len(all)
+	}
+	for len(all) > 0 {
+		n := min(most, len(all))
+		if _, err := to.Write(all[:n]); err != nil {
+			return err
+		}
+		all = all[n:]
+	}
+	return nil
+}
