Count the workers that may be used every 250 ms of a silent list, and measure what that costs

Need: while the list is silent every turn of the timer went through all workers that the gateway has used. Change: four times a second (decide/lease.go, watchList); a list that speaks again clears it at once.

--- a/decide/lease.go
+++ b/decide/lease.go
@@ -11,14 +11,16 @@
 	drainAccepts = 2 * time.Second        // a draining worker may go on taking calls for so long
 	listQuiet    = 4 * time.Second        // after which a list that says nothing is silent
 	listLag      = 12 * time.Second       // a start is told so much later at most
+	countPace    = 250 * time.Millisecond // of counting the workers that may be used
 	noticeEvery  = 5 * time.Second        // pace of log lines while the list is silent
 )
 
 // outdating is what is kept for the leases of all workers.
 type outdating struct {
 	listAsOf time.Duration // the list is known to have been complete then
-	outdated bool          // no worker holds a lease, as of the last sweep
+	outdated bool          // the list is silent, and no worker holds a lease
 	silent   bool          // the list has not spoken for a while, as of the last sweep
+	counted  time.Duration // when workers with a lease were last counted
 	noticed  time.Duration // when that was last logged
 	probed   time.Duration // when workers were last probed
 	probes   float64       // that may be sent
@@ -66,18 +68,18 @@
 	r.watchList()
 }
 
-// watchList notes whether the list is silent, and whether any worker may still be used.
+// watchList notes whether the list is silent, and at a pace whether any worker may still be used.
 func (r *Router) watchList() {
 	if r.set.ToldWithin <= 0 {
 		return
 	}
-	was, wasOutdated := r.silent, r.outdated
+	was := r.silent
 	r.silent = r.now-r.listAsOf > listQuiet
-	r.outdated = r.silent && len(r.ready) > 0 && r.countLeased() == 0
-	if r.silent && (!was || r.outdated != wasOutdated || r.now-r.noticed >= noticeEvery) {
-		r.noticed = r.now
-		r.gw.Log(Notice{ListSilent, r.now - r.listAsOf, r.countLeased(), len(r.ready)})
-	} else if was && !r.silent {
+	switch {
+	case r.silent && (!was || r.now-r.counted >= countPace):
+		r.countWorkers(!was)
+	case !r.silent && was:
+		r.outdated = false
 		r.gw.Log(Notice{Kind: ListSpeaks, Ready: len(r.ready)})
 		for _, w := range r.used {
 			w.turned = 0
@@ -85,6 +87,17 @@
 	}
 }
 
+// countWorkers notes whether any worker may still be used while the list is silent, and says so at a pace.
+func (r *Router) countWorkers(first bool) {
+	r.counted = r.now
+	leased, before := r.countLeased(), r.outdated
+	r.outdated = leased == 0 && len(r.ready) > 0
+	if first || r.outdated != before || r.now-r.noticed >= noticeEvery {
+		r.noticed = r.now
+		r.gw.Log(Notice{ListSilent, r.now - r.listAsOf, leased, len(r.ready)})
+	}
+}
+
 // countLeased counts the ready workers that may get new work.
 func (r *Router) countLeased() (n int) {
 	if r.now < r.listAsOf+r.leaseTime() {
--- a/decide/scale_bench_test.go
+++ b/decide/scale_bench_test.go
@@ -14,6 +14,7 @@
 func (s silent) Refuse(uint64, time.Duration, Reason) {}
 func (s silent) Lose(uint64, Reason)                  {}
 func (s silent) Order(string, string, int)            {}
+func (s silent) Log(Notice)                           {}
 
 // scaled is a router of a gateway of the target's fleet that is told of so many workers.
 func scaled(b *testing.B, workers int) *Router {
@@ -27,7 +28,7 @@
 	return r
 }
 
-// BenchmarkScale is what a router costs that is told of many workers, by size: a turn of its timer, the first call of a
+// BenchmarkScale is what a router costs that is told of many workers, by size: a turn of its timer, also while the list is silent, the first call of a
 // function and the next, a call after a change of the list, one change of it, and the memory of both.
 func BenchmarkScale(b *testing.B) {
 	for _, workers := range []int{120, 10_000, 81_000} {
@@ -51,6 +52,16 @@
 				r.Handle(r.now+sweepEvery, Wake{Token: "sweep"})
 			}
 		})
+		b.Run(name("silent"), func(b *testing.B) { // the same while the list is silent, with a tenth of the workers in use
+			r := scaled(b, workers)
+			r.set.ToldWithin = 7 * time.Second
+			for _, w := range r.ready[:workers/10] {
+				r.touch(w)
+			}
+			for b.Loop() {
+				r.Handle(r.now+sweepEvery, Wake{Token: "sweep"})
+			}
+		})
 		b.Run(name("first"), func(b *testing.B) {
 			r, i := scaled(b, workers), 0
 			call(r, "before") // the first of all tops the counters up
