--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -15,7 +15,7 @@
 var named = regexp.MustCompile(`^package decide\n\n(// [A-Z]\w+(, \w+)*: |import)`)
 
 // The files that deploy/balancer.toml calls the policy are small (TestFilesAreShort), narrow, and say what they decide.
-func TestSizeAndWidth(t *testing.T) {
+func TestPolicyFilesAreReadable(t *testing.T) {
 	var deploy struct{ Policy, Node []string }
 	if _, err := toml.DecodeFile("../deploy/balancer.toml", &deploy); err != nil {
 		t.Fatal(err)
--- a/internal/fleettest/soak_test.go
+++ b/internal/fleettest/soak_test.go
@@ -125,7 +125,11 @@
 
 // outage cuts the lists while workers drain, until that counts as told and the grace is over or for less, and brings all back.
 func (s *soak) outage(long bool) {
-	s.l.CutLists()
+	if s.rng.IntN(2) == 0 {
+		s.l.CutLists()
+	} else {
+		s.l.RefuseLists()
+	}
 	s.serve(20 + s.rng.IntN(60))
 	drained := s.rng.Perm(len(s.l.Workers))[:1+s.rng.IntN(2)]
 	for _, i := range drained {
--- a/internal/lab/outage.go
+++ b/internal/lab/outage.go
@@ -21,7 +21,16 @@
 	}
 }
 
-// HealLists ends CutLists and SlowList.
+// RefuseLists has the bulletins of all gateways go down: connections are reset, open and new ones.
+func (l *Lab) RefuseLists() {
+	l.impairLists(true)
+	l.Logf("the lists are down")
+	for _, g := range l.Gateways {
+		g.listLink.Refuse()
+	}
+}
+
+// HealLists ends CutLists, RefuseLists and SlowList.
 func (l *Lab) HealLists() {
 	l.Logf("the lists are within reach again")
 	for _, g := range l.Gateways {
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -19,14 +19,15 @@
 // Relay passes TCP connections on, each direction with faults of its own. One direction dropped alone is a half-open
 // connection; both are a cut that nobody is told of; Reset is one that both sides see.
 type Relay struct {
-	ln    net.Listener
-	to    func() string
-	mu    sync.Mutex
-	over  sync.Cond // a fault has changed
-	fault [2]Fault  // towards the target, and back
-	conns map[net.Conn]bool
-	cut   bool // no connection comes up
-	ended bool
+	ln      net.Listener
+	to      func() string
+	mu      sync.Mutex
+	over    sync.Cond // a fault has changed
+	fault   [2]Fault  // towards the target, and back
+	conns   map[net.Conn]bool
+	cut     bool // no connection comes up
+	refuses bool // new connections are reset at once
+	ended   bool
 }
 
 // newRelay listens on loopback and passes on to the address that to returns when a connection comes.
@@ -78,10 +79,18 @@
 	r.mu.Unlock()
 }
 
-// Heal ends a cut.
+// Refuse breaks every open connection and resets new ones, as a host does on which nothing listens. Heal ends it.
+func (r *Relay) Refuse() {
+	r.mu.Lock()
+	r.refuses = true
+	r.mu.Unlock()
+	r.Reset()
+}
+
+// Heal ends a cut or a refusal.
 func (r *Relay) Heal() {
 	r.mu.Lock()
-	r.cut, r.fault = false, [2]Fault{}
+	r.cut, r.refuses, r.fault = false, false, [2]Fault{}
 	r.over.Broadcast()
 	r.mu.Unlock()
 	r.Reset()
@@ -113,8 +122,13 @@
 func (r *Relay) handle(near net.Conn) {
 	r.mu.Lock()
 	r.conns[near] = true
-	cut := r.cut
+	cut, refuses := r.cut, r.refuses
 	r.mu.Unlock()
+	if refuses {
+		near.(*net.TCPConn).SetLinger(0)
+		r.drop(near)
+		return
+	}
 	if cut {
 		io.Copy(io.Discard, near)
 		r.drop(near)
