Have clients of soaks send a request again that has crossed an idle close, as the platform does

Ruled out: a connection closed under a request that was read, since CloseUnlessMore leaves what has come; it is the last microseconds between that look and the close. Change: internal/lab/crossing.go sends it again, on connections that were used before and of gateways that were not killed, and counts it.

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -96,6 +96,7 @@
 	Twice      int // requests that ran twice though their class forbids it, keyed ones within a hall and its window
 	Dropped    int // repeats of a key that workers dropped
 	LateSends  int // calls and orders that came to a worker later than the grace after its drain was told
+	Crossed    int // requests sent again since they had crossed the close of an idle connection
 	TurnedAway int // calls that came to a worker that drains
 	Fell       int // cold workers pushed over
 	Loads      int // copies loaded
--- a/internal/lab/line.go
+++ b/internal/lab/line.go
@@ -50,14 +50,14 @@
 
 // line is a client that goes on sending on its connection for as long as that stays open, each request at once after the
 // last answer. A new connection goes to its own gateway, or to the next one that the front knows to take them. A request
-// that crosses the close of an idle connection is sent once more, as http.Transport does for what may be repeated.
+// that crosses the close of an idle connection is sent once more.
 func (t *Traffic) line(i int, rng *rand.Rand) {
 	defer t.wg.Done()
 	tr := &http.Transport{MaxConnsPerHost: 1, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 		return t.connect(ctx, i)
 	}}
 	defer tr.CloseIdleConnections()
-	by := &http.Client{Transport: tr}
+	by := &http.Client{Transport: crossing{tr, t.lab}}
 	for n := lineBase * (i + 1); ; n++ {
 		select {
 		case <-t.stop:
