Take a start that is told a little earlier than was guessed for the same one

A worker that operators called back has a start that is guessed (roster.effective), and the list's own, told later, lies some seconds before it: what had been learnt of its copies since was forgotten. Test: TestRestartByASteppedClock, which fails with the second condition taken out.

--- a/decide/events.go
+++ b/decide/events.go
@@ -85,7 +85,7 @@
 		w := r.workers[h.Name]
 		if w == nil {
 			w = r.begin(h)
-		} else if h.Since != 0 && h.Since != w.host.Since {
+		} else if h.restarted(w.host.Since) {
 			empty[w] = true
 			r.alter(w, func(u *use) { u.health, u.window = make([]health, len(r.classes)), windowMost })
 		}
@@ -108,6 +108,12 @@
 	r.left, r.listedAt = max(0, before-float64(len(r.ready))), r.now
 }
 
+// restarted reports whether a worker was started anew that was listed as started at a time before. A clock
+// that was stepped back has the new start far behind the old one; a little behind, the old one was a guess.
+func (h *Host) restarted(before time.Duration) bool {
+	return h.Since > before || h.Since != 0 && h.Since < before-listLag
+}
+
 // started is when a worker counts as started that the list tells of, 0 for long ago. Clocks of machines are
 // stepped: a start that is still to come, or too old for the list to tell it now, counts as one of now.
 func (r *Router) started(h Host, whole bool) time.Duration {
--- a/decide/lease_test.go
+++ b/decide/lease_test.go
@@ -190,3 +190,25 @@
 		}
 	}
 }
+
+// A start that the list tells later and a little earlier than was thought leaves what is known of the worker; one that is an
+// hour earlier by a clock that was stepped back is another start.
+func TestRestartByASteppedClock(t *testing.T) {
+	for _, c := range []struct {
+		earlier time.Duration
+		forgets bool
+	}{{3 * sec, false}, {time.Hour, true}} {
+		f := listed(t, leasing(), 1)
+		f.now += 2 * time.Hour
+		f.do(Current{AsOf: f.now})
+		first := f.now
+		f.do(List{Hosts: []Host{{Name: "w0", Since: first}}})
+		f.pass(f.r.set.ColdFor)
+		f.do(Current{AsOf: f.now})
+		f.warm(0, "a")
+		f.do(List{Hosts: []Host{{Name: "w0", Since: first - c.earlier}}})
+		if forgot := f.r.funcs["a"].at(f.r.workers["w0"]) == nil; forgot != c.forgets {
+			t.Errorf("%v earlier: forgotten %v", c.earlier, forgot)
+		}
+	}
+}
