--- a/internal/wire/sock/sock.go
+++ b/internal/wire/sock/sock.go
@@ -88,7 +88,7 @@
 func Serve(ln net.Listener, limits Limits, accept func(Conn) Handler, log *zap.Logger) (*Net, error) {
 	starting.Lock()
 	defer starting.Unlock()
-	setLogger.Do(func() { logging.SetLogger(quiet{log.Named("nbio").Sugar()}) })
+	setLogger.Do(func() { logging.SetLogger(quiet{sampled(log.Named("nbio")).Sugar()}) })
 	nbio.MaxOpenFiles = max(leastFiles, 2*limits.Descriptors)
 	conf := nbio.Config{Name: "quillrail", Network: "tcp", NPoller: 1, ReadBufferSize: readBuffer,
 		MaxWriteBufferSize: writeBuffer, MaxConnReadTimesPerEventLoop: readsPerEvent}
