Look at the pace before counting shown workers, and start supervised gateways one way

Read again: keepLeases (decide/renewal.go) counted the workers in use at each turn of a silent list where eight had been shown, since it asked for its pace last; it asks first now, so that it counts once a second. An order may come up to a second later for it. Two tests started gateways under supervisors alike and have startSupervised. Assertions are as they were.

--- a/decide/renewal.go
+++ b/decide/renewal.go
@@ -82,12 +82,12 @@
 // keepLeases orders copies of the function called most, one at a time and where all gateways would have them,
 // so that some workers more can be shown not to drain. Else all that serves may drain while others lie idle.
 func (r *Router) keepLeases() {
-	if !r.silent || r.set.Probing || r.now-r.kept < keepPace || r.shown() >= min(keepWorkers, len(r.ready)) {
+	if !r.silent || r.set.Probing || r.now-r.kept < keepPace {
 		return
 	}
 	r.kept = r.now
 	q := &request{fn: r.busiest()}
-	if q.fn == nil {
+	if q.fn == nil || r.shown() >= min(keepWorkers, len(r.ready)) {
 		return
 	}
 	for i, w := 1, r.rankOf(q, 0); w != nil; i, w = i+1, r.rankOf(q, i) {
--- a/internal/fleettest/folder_test.go
+++ b/internal/fleettest/folder_test.go
@@ -18,15 +18,7 @@
 			beside(t)
 			l := prepare(t, lab.Options{Fleet: true})
 			inFolder := func(c sysfault.Call) bool { return strings.HasPrefix(c.File(), l.Dir) }
-			var supervisors []*sysfault.Supervisor
-			for _, g := range l.Gateways {
-				s := sysfault.New(unix.SYS_WRITE, unix.SYS_PWRITE64, unix.SYS_FSYNC, unix.SYS_FDATASYNC, unix.SYS_FTRUNCATE)
-				g.Supervise(s)
-				supervisors = append(supervisors, s)
-			}
-			if err := l.StartAll(); err != nil {
-				t.Fatal(err)
-			}
+			supervisors := startSupervised(t, l, unix.SYS_WRITE, unix.SYS_PWRITE64, unix.SYS_FSYNC, unix.SYS_FDATASYNC, unix.SYS_FTRUNCATE)
 			tr := l.Start(mixed)
 			served(t, tr, 200)
 			for _, s := range supervisors {
--- a/internal/fleettest/syscalls_test.go
+++ b/internal/fleettest/syscalls_test.go
@@ -95,12 +95,9 @@
 	playFaults(t, interruptible, interrupted, true)
 }
 
-// playFaults has system calls of two gateways fail under load by a policy, while connections have to be made anew if breaks says
-// so.
-func playFaults(t *testing.T, numbers []int, policy func() sysfault.Policy, breaks bool) {
-	beside(t)
-	l := prepare(t, lab.Options{Gateways: 2})
-	var supervisors []*sysfault.Supervisor
+// startSupervised starts the gateways of a fleet, each with its calls of these numbers answered by a supervisor.
+func startSupervised(t *testing.T, l *lab.Lab, numbers ...int) (supervisors []*sysfault.Supervisor) {
+	t.Helper()
 	for _, g := range l.Gateways {
 		s := sysfault.New(numbers...)
 		g.Supervise(s)
@@ -109,6 +106,15 @@
 	if err := l.StartAll(); err != nil {
 		t.Fatal(err)
 	}
+	return supervisors
+}
+
+// playFaults has system calls of two gateways fail under load by a policy, while connections have to be made anew if breaks says
+// so.
+func playFaults(t *testing.T, numbers []int, policy func() sysfault.Policy, breaks bool) {
+	beside(t)
+	l := prepare(t, lab.Options{Gateways: 2})
+	supervisors := startSupervised(t, l, numbers...)
 	tr := l.Start(mixed)
 	served(t, tr, 100)
 	for _, s := range supervisors {
