Keep a new connection from the events of an old one whose descriptor a failed write closed

Cause: nbio closes a descriptor on the writer's goroutine when a write fails. conn.Write (wire/sock/conn.go) asked SO_ERROR before, which tells of a reset once and takes it away: of two calls written to a worker's connection that was reset, in one turn, the first was held back and the second failed and closed the descriptor. A client's connection that was accepted then got the number, and the poller, with the event of the reset still in hand, closed it for the old one: its request, read or not, had no answer. The question itself was asked of a number that the poller could have closed meanwhile. Ruled out: data of one connection read for another (the poller reads by number, so it reads the new one's own); closes by the poller itself, which come with the event. Change: SO_ERROR is not asked any more. Writes are counted that closed a descriptor, under a lock that the reaper holds as it shuts down; Net.settle has a new connection, accepted or dialled, wait until the poller has been through what it had in hand, only after such a write. Accepted connections are nbio's before that, since nbio gives them a descriptor of their own. A wake-up of the poller that the system refuses is tried again.

--- a/internal/wire/sock/conn.go
+++ b/internal/wire/sock/conn.go
@@ -3,10 +3,8 @@
 import (
 	"sync"
 	"sync/atomic"
-	"syscall"
 
 	"github.com/lesismal/nbio"
-	"golang.org/x/sys/unix"
 )
 
 // session holds a connection's handler. The goroutine that accepts or dials hands it to the poller's through the
@@ -48,15 +46,16 @@
 	c.n.reaper.close(closing{c: c.Conn, s: c.s, taken: int64(taken)})
 }
 
-// Write has nbio write, unless the peer has reset the connection: nbio would close the descriptor here and not on the
-// poller's goroutine, where it may be another connection's by the time of the reset's event, and that one would lose its answer.
+// Write has nbio write. A write that fails closes the descriptor here and not on the poller's goroutine, so that it is noted
+// before anybody takes a connection into use that may have got the same number: see Net.settle.
 func (c *conn) Write(b []byte) (int, error) {
-	if n, err := unix.GetsockoptInt(c.Hash(), unix.SOL_SOCKET, unix.SO_ERROR); err == nil && n != 0 {
-		c.Close()
-		return 0, syscall.Errno(n)
-	}
 	c.s.unsent.Add(int64(len(b)))
+	c.n.writing.Lock()
 	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.n.closedInWrite++
+	}
+	c.n.writing.Unlock()
 	if err != nil {
 		c.s.unsent.Store(0) // the connection has ended, and with it what it held
 	}
--- a/internal/wire/sock/dial.go
+++ b/internal/wire/sock/dial.go
@@ -39,6 +39,7 @@
 		s := new(session)
 		s.set(h, false)
 		c.SetSession(s)
+		n.settle()
 		if _, err := n.engine.AddConn(c); err != nil {
 			done(nil, err)
 			return
--- a/internal/wire/sock/listener.go
+++ b/internal/wire/sock/listener.go
@@ -9,6 +9,7 @@
 	"sync"
 	"syscall"
 
+	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
 )
 
@@ -16,8 +17,9 @@
 // while most accepted connections are open, so that clients cannot use up the descriptors that dialled connections need.
 type listener struct {
 	net.Listener
-	once sync.Once
-	over chan struct{} // the engine ends
+	settle func() // called with each connection that has its descriptor, before the poller has it
+	once   sync.Once
+	over   chan struct{} // the engine ends
 
 	mu    sync.Mutex
 	freed sync.Cond
@@ -26,13 +28,13 @@
 	ended bool
 }
 
-func newListener(ln net.Listener, most int) *listener {
-	l := &listener{Listener: ln, over: make(chan struct{}), most: most}
+func newListener(ln net.Listener, most int, settle func()) *listener {
+	l := &listener{Listener: ln, settle: settle, over: make(chan struct{}), most: most}
 	l.freed.L = &l.mu
 	return l
 }
 
-// Accept waits for room and then for a connection.
+// Accept waits for room and then for a connection. It is nbio's already: what nbio makes of another has a descriptor of its own.
 func (l *listener) Accept() (net.Conn, error) {
 	l.mu.Lock()
 	for l.open >= l.most && !l.ended {
@@ -44,7 +46,16 @@
 		<-l.over
 		runtime.Goexit() // an engine stopped before its acceptor began would have that try for good
 	}
-	return c, err
+	if err != nil {
+		return nil, err
+	}
+	accepted, err := nbio.NBConn(c)
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	l.settle()
+	return accepted, nil
 }
 
 // opened counts a connection; the engine calls it before the next Accept.
--- a/internal/wire/sock/reaper.go
+++ b/internal/wire/sock/reaper.go
@@ -4,18 +4,28 @@
 	"net"
 	"os"
 	"sync"
+	"time"
 
 	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
 )
 
+// ringAgain is the pause after a wake-up of the poller that failed.
+const ringAgain = 5 * time.Millisecond
+
 // reaper ends connections on the goroutine that polls them. A descriptor that is closed on another may be another
-// connection's by the time that the poller comes to an event of the old one, which it has in hand already: it would read
-// the new connection's bytes for the old one, or close the new one because the old one's peer hung up.
+// connection's by the time that the poller comes to an event of the old one, which it has in hand already: it would
+// close the new one because the old one's peer hung up.
 type reaper struct {
-	mu   sync.Mutex
-	due  []closing
-	ring *os.File // wakes the poller
+	writing *sync.Mutex // held while a write may close a descriptor
+
+	mu      sync.Mutex
+	due     []closing
+	waiting []chan struct{} // for the poller to be woken twice
+	woken   []chan struct{} // it has been woken once since
+	rung    bool            // a wake-up is on its way
+	ended   bool            // the poller ends
+	ring    *os.File        // wakes the poller
 }
 
 // closing is a connection that is to be closed.
@@ -54,28 +64,76 @@
 func (r *reaper) close(c closing) {
 	r.mu.Lock()
 	r.due = append(r.due, c)
-	first := len(r.due) == 1
+	r.wake()
+	r.mu.Unlock()
+}
+
+// passed waits until the poller has been through all events that it had in hand as of the call. The wake-up may be one of
+// them itself, and the next one cannot be.
+func (r *reaper) passed() {
+	done := make(chan struct{})
+	r.mu.Lock()
+	if r.ended {
+		r.mu.Unlock()
+		return
+	}
+	r.waiting = append(r.waiting, done)
+	r.wake()
 	r.mu.Unlock()
-	if first {
-		r.ring.Write([]byte{0})
+	<-done
+}
+
+// wake has Data called soon. r.mu is held.
+func (r *reaper) wake() {
+	if r.rung || r.ended {
+		return
 	}
+	r.rung = true
+	if _, err := r.ring.Write([]byte{0}); err != nil {
+		time.AfterFunc(ringAgain, r.wakeAgain)
+	}
+}
+
+// wakeAgain follows a wake-up that the system did not take.
+func (r *reaper) wakeAgain() {
+	r.mu.Lock()
+	r.rung = false
+	r.wake()
+	r.mu.Unlock()
 }
 
 // Data runs on the poller's goroutine. A connection that is shut down there shows the poller its end, as an event of its
 // own, and only then is its descriptor closed.
 func (r *reaper) Data([]byte) error {
 	r.mu.Lock()
-	due := r.due
-	r.due = nil
+	due, over := r.due, r.woken
+	r.due, r.woken, r.waiting = nil, r.waiting, nil
+	if r.rung = false; len(r.woken) > 0 {
+		r.wake()
+	}
 	r.mu.Unlock()
+	release(over)
 	for _, d := range due {
-		if closed, _ := d.c.IsClosed(); !closed && !d.more() {
-			unix.Shutdown(d.c.Hash(), unix.SHUT_RDWR)
-		}
+		r.shutdown(d)
 	}
 	return nil
 }
 
+// shutdown ends a connection, unless it has ended meanwhile: then its descriptor may be another's.
+func (r *reaper) shutdown(d closing) {
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	if closed, _ := d.c.IsClosed(); !closed && !d.more() {
+		unix.Shutdown(d.c.Hash(), unix.SHUT_RDWR)
+	}
+}
+
+func release(waiting []chan struct{}) {
+	for _, done := range waiting {
+		close(done)
+	}
+}
+
 // more reports whether a connection that was to be closed only if nothing has come has had more.
 func (d closing) more() bool {
 	if d.s == nil {
@@ -86,4 +144,12 @@
 }
 
 // Closed ends the ring with the engine.
-func (r *reaper) Closed(error) { r.ring.Close() }
+func (r *reaper) Closed(error) {
+	r.mu.Lock()
+	r.ended = true
+	waiting := append(r.waiting, r.woken...)
+	r.waiting, r.woken = nil, nil
+	r.mu.Unlock()
+	release(waiting)
+	r.ring.Close()
+}
--- a/internal/wire/sock/sock.go
+++ b/internal/wire/sock/sock.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -69,6 +70,23 @@
 	engine *nbio.Engine
 	ln     *listener // nil where it only dials
 	reaper reaper
+
+	writing       sync.Mutex // held while a write may close a descriptor
+	closedInWrite uint64     // descriptors closed by writes that failed
+	settled       atomic.Uint64
+}
+
+// settle makes a new connection safe from the events of an old one that had its descriptor's number and was closed by a
+// write that failed: the poller may have such an event in hand, which would end the new one. It waits until it has none.
+// It is called once the descriptor is there and before the poller knows of it.
+func (n *Net) settle() {
+	n.writing.Lock()
+	closed := n.closedInWrite
+	n.writing.Unlock()
+	if closed != n.settled.Load() {
+		n.reaper.passed()
+		n.settled.Store(closed)
+	}
 }
 
 // Listen starts an engine. With an address, accepted connections go to accept, which must not close them yet;
@@ -93,6 +111,7 @@
 	conf := nbio.Config{Name: "quillrail", Network: "tcp", NPoller: 1, ReadBufferSize: readBuffer,
 		MaxWriteBufferSize: writeBuffer, MaxConnReadTimesPerEventLoop: readsPerEvent}
 	n := &Net{}
+	n.reaper.writing = &n.writing
 	bell, err := n.reaper.open()
 	if err != nil {
 		if ln != nil {
@@ -101,7 +120,7 @@
 		return nil, err
 	}
 	if ln != nil {
-		n.ln = newListener(ln, limits.Accepted)
+		n.ln = newListener(ln, limits.Accepted, n.settle)
 		conf.Addrs = []string{ln.Addr().String()}
 		conf.Listen = func(string, string) (net.Listener, error) { return n.ln, nil }
 	}
--- a/internal/wire/sock/sock_test.go
+++ b/internal/wire/sock/sock_test.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := newListener(ln, 1)
+	l := newListener(ln, 1, func() {})
 	l.Close()
 	returned, ended := false, make(chan struct{})
 	go func() {
