Have the test of the operators' door begin once its gateway takes clients

TestOperatorsDoor failed once beside other work: its first call, ready, was answered 'not ready'. Operators' calls go before the rest of a turn (Loop.PostFirst), so on a busy machine one could come before the turn in which the gateway opens (serve.go Start posts it). The answer was right; the test now waits for that turn.

--- a/internal/lifecycle/operator_test.go
+++ b/internal/lifecycle/operator_test.go
@@ -13,7 +13,8 @@
 	"quillrail/internal/lifecycle/handover"
 )
 
-// served starts a gateway on loopback with a door for operators, and its turns.
+// served starts a gateway on loopback with a door for operators, and its turns. It takes clients on return: operators' calls
+// go before what a turn was to do, its beginning too.
 func served(t *testing.T) *Gateway {
 	t.Helper()
 	c, err := ParseConfig([]byte(strings.NewReplacer("%BULLETIN%", "127.0.0.1:1", "%WORKER%", "127.0.0.1:1",
@@ -27,6 +28,9 @@
 		t.Fatal(err)
 	}
 	runTurns(t, g)
+	begun := make(chan struct{})
+	g.loop.Post(func() { close(begun) })
+	<-begun
 	return g
 }
 
