Tell whether a learner answers by what it has said, not by raft's mark

Group.Behind (replog/group.go) took raft's RecentActive for whether a learner answers. Raft's CheckQuorum takes that mark off all others once in an election's time, ten ticks; Agent.seats looks each ten ticks as well, right after the tick. Where both met, each look found the mark just taken off, and the learner was never made a voter. Change: a group notes at which of its ticks another voter or learner was last heard of, and Behind goes by an election's time of it.

--- a/internal/fleet/replog/group.go
+++ b/internal/fleet/replog/group.go
@@ -36,6 +36,9 @@
 	heard   bool // of a leader, since the last call of Heard
 	seated  bool // who votes has changed since the last snapshot
 	removed bool // it is no voter any more
+
+	ticks    uint64
+	answered map[uint64]uint64 // the tick at which another voter or learner was last heard of
 }
 
 var errStopped = errors.New("agree: this gateway holds no log")
@@ -68,6 +71,7 @@
 	if g.rn == nil {
 		return errStopped
 	}
+	g.ticks++
 	g.rn.Tick()
 	return nil
 }
@@ -88,6 +92,9 @@
 	if m.GetFrom() == g.lead && g.lead != 0 {
 		g.heard = true
 	}
+	if g.state != nil && g.state.votes(m.GetFrom()) {
+		g.answered[m.GetFrom()] = g.ticks
+	}
 	return g.rn.Step(m)
 }
 
@@ -122,7 +129,9 @@
 	return g.rn.BasicStatus().Lead
 }
 
-// Behind is how many entries another voter or learner has not been sent or has not acknowledged; false if it is none.
+// Behind is how many entries another voter or learner has not been sent or has not acknowledged; false if it is none or has
+// not been heard of for an election's time. Raft's own mark of who is active is of no use for that: raft takes it off all, once
+// in that time, to see who sets it again.
 func (g *Group) Behind(id uint64) (n uint64, ok bool) {
 	if !g.Leads() {
 		return 0, false
@@ -132,7 +141,8 @@
 		return 0, false
 	}
 	last, _ := g.mem.LastIndex()
-	return last - min(last, p.Match), p.RecentActive
+	at, heard := g.answered[id]
+	return last - min(last, p.Match), heard && g.ticks-at <= electionTicks
 }
 
 // Propose puts an entry into the log, if this voter leads. At is its time, which does not go back.
--- a/internal/fleet/replog/open.go
+++ b/internal/fleet/replog/open.go
@@ -72,7 +72,7 @@
 
 // Open takes part again with what is on disk. seen is told of each entry that is applied.
 func Open(self string, d Disk, seen func(Applied)) (*Group, error) {
-	g := &Group{id: d.ID, self: self, mem: raft.NewMemoryStorage(), seen: seen}
+	g := &Group{id: d.ID, self: self, mem: raft.NewMemoryStorage(), seen: seen, answered: map[uint64]uint64{}}
 	hard, snap := &pb.HardState{}, &pb.Snapshot{}
 	if err := errors.Join(proto.Unmarshal(d.Hard, hard), proto.Unmarshal(d.Snap, snap)); err != nil {
 		return nil, fmt.Errorf("agree: log on disk: %w", err)
@@ -112,6 +112,6 @@
 
 // Learn begins with nothing, for one that the voters are taking in: they send what it has to know.
 func Learn(self string, id uint64, seen func(Applied)) (*Group, error) {
-	g := &Group{id: id, self: self, mem: raft.NewMemoryStorage(), seen: seen}
+	g := &Group{id: id, self: self, mem: raft.NewMemoryStorage(), seen: seen, answered: map[uint64]uint64{}}
 	return g, g.start()
 }
--- a/internal/fleet/replog/play_test.go
+++ b/internal/fleet/replog/play_test.go
@@ -207,6 +207,22 @@
 	return m.g.Propose(&Entry{V: 1, From: m.name, Life: 1, Seq: n.seq, Kind: "see", Body: body}, int64(n.seq))
 }
 
+// tick is a step of time at all, and what they say to each other in it.
+func (n *net) tick() {
+	for _, m := range n.all {
+		m.g.Tick()
+		m.pump(true)
+	}
+	for k := 0; len(n.mail) > 0 && k < 1000; k++ {
+		x := n.mail[0]
+		n.mail = n.mail[1:]
+		if !n.cut[[2]int{x.from, x.to}] {
+			n.all[x.to].g.Step(x.body)
+			n.all[x.to].pump(true)
+		}
+	}
+}
+
 // settle lets all hear each other until every member has applied the same.
 func (n *net) settle() error {
 	clear(n.cut)
@@ -216,16 +232,7 @@
 		}
 	}
 	for range 4000 {
-		for _, m := range n.all {
-			m.g.Tick()
-			m.pump(true)
-		}
-		for k := 0; len(n.mail) > 0 && k < 1000; k++ {
-			x := n.mail[0]
-			n.mail = n.mail[1:]
-			n.all[x.to].g.Step(x.body)
-			n.all[x.to].pump(true)
-		}
+		n.tick()
 		same := true
 		for _, m := range n.all {
 			same = same && m.g.State() != nil && m.g.State().Index == n.all[0].g.State().Index && m.g.State().Hash() == n.all[0].g.State().Hash()
--- a/internal/fleet/replog/ready.go
+++ b/internal/fleet/replog/ready.go
@@ -122,6 +122,9 @@
 		g.conf = g.rn.ApplyConfChange(cc)
 		a.Raw = seatRaw(cc.GetNodeId(), gone, cc.GetContext())
 		g.seated = true // who is taken in needs a snapshot that names it
+		if gone {
+			delete(g.answered, cc.GetNodeId())
+		}
 		g.removed = g.removed || gone && cc.GetNodeId() == g.id
 	}
 	a.Entry, a.Err = g.state.take(e.GetIndex(), a.Raw)
--- a/internal/fleet/replog/state.go
+++ b/internal/fleet/replog/state.go
@@ -116,6 +116,11 @@
 	return nil
 }
 
+// votes reports whether a number is a voter's or a learner's.
+func (s *State) votes(id uint64) bool {
+	return slices.ContainsFunc(s.Voters, func(v Voter) bool { return v.ID == id })
+}
+
 // seat takes a change of who votes: it comes with the log's own entries.
 func (s *State) seat(v Voter, gone bool) {
 	i := slices.IndexFunc(s.Voters, func(o Voter) bool { return o.ID == v.ID })
