Return a permit whose lapse comes behind its use, at workers and gateways alike

Agent.Return (agreement/holder.go) chose lapse by what was known there; State.Lapse (change/apply.go) refused it behind the use, the operator was told so and the worker stayed out. Agent.Back has the same gap for a gateway's own drain: resumed before its use was applied, it was drained by it afterwards and stayed so. Ruled out: lapse that returns in the log itself, since gateways of the version before would come to another state by the same entry. Change: State.TakeBack says which entry takes a permit back as of now; the agent asks for it again where the one that it proposed was refused and another one fits. A gateway that was resumed before its permit came in use gives it back as it sees the use.

--- a/internal/fleet/agreement/declare.go
+++ b/internal/fleet/agreement/declare.go
@@ -159,6 +159,11 @@
 
 // Agree proposes an entry for an operator, who is answered within a second.
 func (a *Agent) Agree(kind, by string, except uint64, body any, done func(index uint64, err error)) {
+	a.Propose(kind, by, except, body, a.answerInTime(done))
+}
+
+// answerInTime is done, but that it is called once and by then: an operator does not wait for longer.
+func (a *Agent) answerInTime(done func(index uint64, err error)) func(index uint64, err error) {
 	over := false
 	late := a.host.Loop().After(askOperator, func() {
 		if !over {
@@ -166,13 +171,13 @@
 			done(0, fmt.Errorf("it was not agreed in %v: there may be no majority, or it may still come; see agreed", askOperator))
 		}
 	})
-	a.Propose(kind, by, except, body, func(index uint64, err error) {
+	return func(index uint64, err error) {
 		if !over {
 			over = true
 			a.host.Loop().Cancel(late)
 			done(index, err)
 		}
-	})
+	}
 }
 
 // Ask asks for a permit for a thing, for an operator: text says whether it is in use or why it waits.
--- a/internal/fleet/agreement/holder.go
+++ b/internal/fleet/agreement/holder.go
@@ -15,9 +15,10 @@
 
 // holder is what this gateway has to do by what was agreed.
 type holder struct {
-	banned map[string]bool // workers that are out by a permit
-	drain  uint64          // the permit by which this gateway is drained
-	asked  map[uint64]bool // permits of which the next step has been proposed
+	banned   map[string]bool // workers that are out by a permit
+	drain    uint64          // the permit by which this gateway is drained
+	unwanted uint64          // the permit for this gateway that an operator has taken back before it was used
+	asked    map[uint64]bool // permits of which the next step has been proposed
 }
 
 // carry does what an entry asks of this gateway.
@@ -109,11 +110,16 @@
 	}
 }
 
-// drained sends clients away: this gateway has seen that its permit is in use.
+// drained sends clients away: this gateway has seen that its permit is in use. One that an operator has taken back meanwhile
+// is given back: the entry by which it was to lapse comes behind the one by which it was used.
 func (a *Agent) drained(id uint64) {
 	if p := a.State().Change.Permit(id); p == nil || p.Phase != change.Used || p.Life != a.host.Life().N {
 		return
 	}
+	if id == a.held.unwanted {
+		a.giveBack(id)
+		return
+	}
 	a.held.drain = id
 	a.gw.Drain(fmt.Sprintf("permit %d", id))
 }
@@ -136,6 +142,7 @@
 	switch {
 	case p == nil || p.Holder != a.o.Name || p.Release != 0:
 	case p.Phase <= change.Granted: // it waits, and is not wanted any more
+		a.held.unwanted = p.ID
 		a.Propose("lapse", "", 0, change.PermitBody{ID: p.ID, Why: "its drain was taken back"}, nil)
 	case p.Phase == change.Used:
 		a.held.drain = 0
@@ -177,13 +184,32 @@
 	return nil
 }
 
-// Return says that the things of a permit may be used again, by an operator's word.
+// Return says that the things of a permit may be used again, by an operator's word. done is called once, within a second.
 func (a *Agent) Return(p *change.Permit, by string, done func(string, error)) {
-	if p.Phase <= change.Granted {
-		a.Agree("lapse", by, 0, change.PermitBody{ID: p.ID, Why: "taken back by " + by}, func(_ uint64, err error) { done("", err) })
+	a.takeBack(p.ID, by, a.answerInTime(func(_ uint64, err error) { done("", err) }))
+}
+
+// takeBack has a permit lapse or returned, as it stands when that is asked for. It may have been used before the entry was
+// applied, or wait again; then the entry has changed nothing, and the one that fits is proposed.
+func (a *Agent) takeBack(id uint64, by string, done func(uint64, error)) {
+	p, err := a.State().Change.TakeBack(id, a.host.Life().N, "taken back by "+by)
+	if err != nil {
+		done(0, err)
 		return
 	}
-	a.Agree("return", by, 0, change.PermitBody{ID: p.ID, Holder: p.Holder, Life: max(p.Life, a.host.Life().N)}, func(_ uint64, err error) { done("", err) })
+	a.Propose(p.Kind, by, 0, p.Body, func(index uint64, err error) {
+		if err != nil && a.otherwise(id, p) {
+			a.takeBack(id, by, done)
+			return
+		}
+		done(index, err)
+	})
+}
+
+// otherwise reports whether another entry than the one that was proposed would take a permit back now.
+func (a *Agent) otherwise(id uint64, proposed change.Proposal) bool {
+	now, err := a.State().Change.TakeBack(id, 0, "")
+	return err == nil && now.Kind != proposed.Kind
 }
 
 // Urgent says that something has been taken out without asking: it is named, and counts.
--- a/internal/fleet/change/permit.go
+++ b/internal/fleet/change/permit.go
@@ -113,8 +113,7 @@
 // Turn reports why a permit that waits may not be granted now: what asked before goes first, unless only its hall or its
 // copies keep it back, there is room for both, and it has not been passed too often.
 func (s *State) Turn(p *Permit, m Measure) error {
-	passes, err := s.turn(p, m)
-	_ = passes
+	_, err := s.turn(p, m)
 	return err
 }
 
@@ -139,6 +138,21 @@
 	return passes, nil
 }
 
+// TakeBack is the entry by which a permit's things may be used again, as of now: one that was not used lapses, one that is in use
+// is returned. life is that of who says so. The error says why there is none: it has ended, or comes back already.
+func (s *State) TakeBack(id, life uint64, why string) (Proposal, error) {
+	p := s.Permit(id)
+	switch {
+	case p == nil:
+		return Proposal{}, fmt.Errorf("permit %d has ended", id)
+	case p.Phase <= Granted:
+		return Proposal{"lapse", PermitBody{ID: id, Why: why}}, nil
+	case p.Phase == Used:
+		return Proposal{"return", PermitBody{ID: id, Holder: p.Holder, Life: max(p.Life, life)}}, nil
+	}
+	return Proposal{}, fmt.Errorf("permit %d %s", id, p.Phase)
+}
+
 // takes are the things that go out by a permit: a release that has something started which is out already takes nothing.
 func (s *State) takes(p *Permit) []Thing {
 	if p.Release == 0 || p.Holder != "" {
