Have a voter whose log failed go on as another one, and play half writes to folders

Cause, found by reading for what follows a disk that fails: Agent.fail (agreement/apply.go) dropped the log and kept the voter's number; the next message of raft began an empty log under it (messages.go raft), which may vote a second time in a term. It was reached by errors of the library, by a full queue of writes (store.ErrFull), and by a change of voters that raft did not take (membership.go seats). Ruled out: a disk that fails for a while does not get there, since store.Write keeps groups and tries again: the voter stands still. Supervisors of tests can have half of a write made (sysfault/half.go).

--- a/internal/fleet/agreement/agent.go
+++ b/internal/fleet/agreement/agent.go
@@ -62,25 +62,28 @@
 	o    Options
 	log  *zap.Logger
 
-	id      uint64 // of the disk
-	lives   map[string]incarnations
-	claim   *replog.Eligibility
-	mine    *replog.Disk // what this disk holds of the log, until it is known whether it may be used
-	known   map[string]answer
-	group   *replog.Group
-	writing bool
-	logLo   uint64 // entries of the log that may be on disk
-	logHi   uint64
-	copy    *replog.Follower
-	done    uint64 // the last entry that was acted on,
-	doneEra uint64 // and its era
-	from    string // the voter that is followed
-	asked   time.Duration
-	heard   time.Duration // when what is known was last known to be current
-	leader  string
-	caught  bool // what is known has been current since this process began
-	begun   time.Duration
-	stopped bool
+	id       uint64 // of the disk
+	lives    map[string]incarnations
+	claim    *replog.Eligibility
+	mine     *replog.Disk // what this disk holds of the log, until it is known whether it may be used
+	known    map[string]answer
+	group    *replog.Group
+	writing  bool
+	logLo    uint64 // entries of the log that may be on disk
+	logHi    uint64
+	failed   bool          // a log was given up after an error,
+	failedAt time.Duration // then
+	founding bool          // the first entry of an agreement is being written
+	copy     *replog.Follower
+	done     uint64 // the last entry that was acted on,
+	doneEra  uint64 // and its era
+	from     string // the voter that is followed
+	asked    time.Duration
+	heard    time.Duration // when what is known was last known to be current
+	leader   string
+	caught   bool // what is known has been current since this process began
+	begun    time.Duration
+	stopped  bool
 
 	seq     uint64
 	open    map[uint64]*proposal
--- a/internal/fleet/agreement/apply.go
+++ b/internal/fleet/agreement/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -34,18 +35,28 @@
 	a.pushed()
 }
 
-// fail gives the log up after an error of the library: the gateway follows from then on.
+// afterFailure is how long a gateway that gave its log up is not taken in again: its disk may be full for a while.
+const afterFailure = 10 * time.Second
+
+// fail gives the log up after an error of the library or of the disk: the gateway follows from then on. What it has promised as
+// this voter may not be on disk, so that it gives its number up as well, and can be taken in only as another one. An agreement
+// that is only being founded is forgotten.
 func (a *Agent) fail(err error) {
 	if err == nil || a.group == nil {
 		return
 	}
 	a.log.Error("this gateway does not hold the log any more", zap.Error(err))
-	if b := a.Handed(); b != nil {
+	if b := a.Handed(); b != nil && !a.founding {
 		a.copy.Replace(b)
 	}
-	a.group, a.writing = nil, false
+	a.founding = false
+	a.forfeit()
+	a.failed, a.failedAt = true, a.host.Now()
 }
 
+// failedLately reports whether the log was given up a moment ago.
+func (a *Agent) failedLately() bool { return a.failed && a.host.Now()-a.failedAt < afterFailure }
+
 // Stop ends the part. One that leads hands the lead on.
 func (a *Agent) Stop() {
 	if a.group != nil && a.group.Leads() {
--- a/internal/fleet/agreement/eligibility.go
+++ b/internal/fleet/agreement/eligibility.go
@@ -1,27 +1,15 @@
 package agreement
 
 import (
-	"fmt"
 	"maps"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"quillrail/internal/fleet/member"
 	"quillrail/internal/fleet/replog"
 	"quillrail/internal/fleet/site"
-	"quillrail/internal/fleet/store"
-)
-
-// The keys of the log on disk.
-const (
-	keyID   = "agree/id"
-	keyHard = "agree/hard"
-	keySnap = "agree/snap"
 )
 
 const (
@@ -36,61 +24,6 @@
 	at    time.Duration
 }
 
-// diskOf is the log that was on disk, nil if there is none.
-func diskOf(found map[string][]byte) *replog.Disk {
-	d := &replog.Disk{Hard: found[keyHard], Snap: found[keySnap], Entries: map[uint64][]byte{}}
-	if d.Hard == nil && d.Snap == nil || msgpack.Unmarshal(found[keyID], &d.ID) != nil || d.ID == 0 {
-		return nil
-	}
-	for key, b := range found {
-		if text, ok := strings.CutPrefix(key, store.Log); ok {
-			if i, err := strconv.ParseUint(text, 16, 64); err == nil {
-				d.Entries[i] = b
-			}
-		}
-	}
-	return d
-}
-
-// persist has a write of the log on disk, whole, before done is called on the turn.
-func (a *Agent) persist(w *replog.Write, done func()) {
-	id, err := msgpack.Marshal(a.id)
-	if err != nil || a.host.Disk() == nil {
-		a.fail(fmt.Errorf("agree: there is no disk to hold the log on: %w", err))
-		return
-	}
-	entries := map[string][]byte{keyID: id}
-	if w.Hard != nil {
-		entries[keyHard] = w.Hard
-	}
-	if w.Snap != nil {
-		entries[keySnap] = w.Snap
-	}
-	for i, b := range w.Entries {
-		entries[fmt.Sprintf("%s%016x", store.Log, i)] = b
-		if b != nil {
-			a.span(i)
-		}
-	}
-	a.host.Disk().Write(entries, func(err error) {
-		a.host.Loop().Post(func() {
-			if err != nil {
-				a.fail(err)
-				return
-			}
-			done()
-		})
-	})
-}
-
-// span notes that an entry of the log is on disk.
-func (a *Agent) span(i uint64) {
-	if a.logHi < a.logLo || a.logHi == 0 {
-		a.logLo, a.logHi = i, i
-	}
-	a.logLo, a.logHi = min(a.logLo, i), max(a.logHi, i)
-}
-
 // settle decides whether this gateway may vote by its disk, or whether a first agreement begins.
 func (a *Agent) settle(now time.Duration) {
 	first := a.State() == nil && len(a.o.First) > 0 && a.o.First[0] == a.o.Name
@@ -162,7 +95,7 @@
 	}
 	entries := map[string][]byte{keyID: nil, keyHard: nil, keySnap: nil}
 	for i := a.logLo; i <= a.logHi; i++ {
-		entries[fmt.Sprintf("%s%016x", store.Log, i)] = nil
+		entries[logKey(i)] = nil
 	}
 	a.logLo, a.logHi = 1, 0
 	a.host.Disk().Write(entries, func(error) {})
@@ -181,7 +114,7 @@
 			voters = append(voters, replog.Voter{ID: k.id, Name: name, Hall: a.hallOf(name)})
 		}
 	}
-	if len(voters) != len(a.o.First) || a.host.Disk() == nil {
+	if len(voters) != len(a.o.First) || a.host.Disk() == nil || a.failedLately() {
 		return
 	}
 	a.begin(a.fresh(), voters)
@@ -204,11 +137,11 @@
 		a.log.Error("no agreement can begin", zap.Error(err))
 		return
 	}
-	a.group, a.writing = g, true
+	a.group, a.writing, a.founding = g, true, true
 	a.log.Info("an agreement begins", zap.Strings("voters", a.voters()))
 	a.persist(w, func() {
 		if a.group == g {
-			a.writing = false
+			a.writing, a.founding = false, false
 			a.fail(g.Campaign())
 			a.pump()
 			a.tellEra()
--- a/internal/fleet/agreement/membership.go
+++ b/internal/fleet/agreement/membership.go
@@ -33,7 +33,9 @@
 	if v, gone, ok := s.Next(st, a.group.ID(), all); ok {
 		v.At = now.Milliseconds()
 		a.log.Info("who votes is changed", zap.String("gateway", v.Name), zap.Bool("learner", v.Learner), zap.Bool("removed", gone))
-		a.fail(a.group.Change(v, gone))
+		if err := a.group.Change(v, gone); err != nil {
+			a.log.Info("who votes is not changed yet", zap.Error(err))
+		}
 		a.pump()
 	}
 }
--- a/internal/fleet/agreement/messages.go
+++ b/internal/fleet/agreement/messages.go
@@ -97,7 +97,7 @@
 
 func (a *Agent) raft(from string, b []byte) {
 	if a.group == nil {
-		if a.claim != nil { // it is not known yet whether this disk may vote
+		if a.claim != nil || a.failedLately() { // it is not known yet whether this disk may vote
 			return
 		}
 		g, err := replog.Learn(a.o.Name, a.id, a.applied)
--- a/internal/fleettest/syscalls_test.go
+++ b/internal/fleettest/syscalls_test.go
@@ -16,11 +16,11 @@
 // failing has a part of the calls with a number fail, each with an error that is drawn, if on says so.
 func failing(part float64, on func(sysfault.Call) bool, errors ...unix.Errno) sysfault.Policy {
 	rng := rand.New(rand.NewPCG(seed(), 21))
-	return func(c sysfault.Call) unix.Errno {
+	return func(c sysfault.Call) sysfault.Outcome {
 		if rng.Float64() >= part || on != nil && !on(c) {
-			return 0
+			return sysfault.Outcome{}
 		}
-		return errors[rng.IntN(len(errors))]
+		return sysfault.Outcome{Errno: errors[rng.IntN(len(errors))]}
 	}
 }
 
@@ -34,9 +34,9 @@
 // inTurns has a policy hold for a few hundred calls of every so many.
 func inTurns(policy sysfault.Policy, length int64) sysfault.Policy {
 	var n atomic.Int64
-	return func(c sysfault.Call) unix.Errno {
+	return func(c sysfault.Call) sysfault.Outcome {
 		if n.Add(1)/length%2 == 0 {
-			return 0
+			return sysfault.Outcome{}
 		}
 		return policy(c)
 	}
--- a/internal/lab/sysfault/supervisor.go
+++ b/internal/lab/sysfault/supervisor.go
@@ -29,9 +29,14 @@
 	return name
 }
 
-// Policy says what becomes of a call: 0 has it go on, an error is what it returns at once. A supervisor calls it for
-// one system call at a time.
-type Policy func(c Call) unix.Errno
+// Outcome is what becomes of a call. The zero value has it go on.
+type Outcome struct {
+	Errno unix.Errno // it returns this error at once
+	Half  bool       // a write, of which half is written
+}
+
+// Policy says what becomes of a call. A supervisor calls it for one system call at a time.
+type Policy func(c Call) Outcome
 
 // Supervisor hears of the system calls of the processes of one gateway.
 type Supervisor struct {
@@ -139,17 +144,27 @@
 		r := response{id: n.id, flags: unix.SECCOMP_USER_NOTIF_FLAG_CONTINUE}
 		if policy := *s.policy.Load(); policy != nil {
 			s.deciding.Lock()
-			errno := policy(Call{int(n.number), n.args, n.thread})
+			s.decide(policy, Call{int(n.number), n.args, n.thread}, &r)
 			s.deciding.Unlock()
-			if errno != 0 {
-				s.failed.Add(1)
-				r.errno, r.flags = -int32(errno), 0
-			}
 		}
 		ioctl(listener, unix.SECCOMP_IOCTL_NOTIF_SEND, unsafe.Pointer(&r))
 	}
 }
 
+// decide words a policy's outcome as the kernel takes it.
+func (s *Supervisor) decide(policy Policy, c Call, r *response) {
+	switch outcome := policy(c); {
+	case outcome.Errno != 0:
+		s.failed.Add(1)
+		r.errno, r.flags = -int32(outcome.Errno), 0
+	case outcome.Half:
+		if written, err := writeHalf(c); err == nil && written > 0 {
+			s.failed.Add(1)
+			r.value, r.flags = int64(written), 0
+		}
+	}
+}
+
 func ioctl(fd int, request uintptr, argument unsafe.Pointer) unix.Errno {
 	_, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(fd), request, uintptr(argument))
 	return errno
