Move what a process hands on to the clock of the one that takes over

Cause: Memory (decide/memory.go) has times of the old process's clock, which a step of the machine's clock does not move; a new process begins with the stepped clock. After a step of an hour forward all of it was an hour old: what had been sent to cold workers, ordered and rationed was forgotten; after a step back it was 'still to come' and refused whole. A worker started before the step counted as warm, or as started in an hour, by the list's time of its start. Ruled out: handing on the old process's clock itself: the two would go apart as each follows the system's, and one that dies takes it along. Change: the memory says when it was handed on by its clock; Recall moves its times by the difference where that is over 2 s. When workers count as started is handed on as well, of those that count as cold though they were never used.

--- a/decide/memory.go
+++ b/decide/memory.go
@@ -8,8 +8,9 @@
 )
 
 // Memory is what a router has learnt, to be handed on to the next process of its gateway. It holds nothing of open
-// requests: these stay with the process that took them. Times are of the gateway's clock, which both share.
+// requests: these stay with the process that took them. Times are of the clock of the process that hands it on.
 type Memory struct {
+	At       time.Duration   `json:"at"` // of that clock, when it was handed on; 0 where its times are of the next process's clock
 	Classes  []ClassMemory    `json:"classes"`
 	Turn     []float64        `json:"turn"`
 	Tokens   []float64        `json:"tokens"`
@@ -36,7 +37,8 @@
 // WorkerMemory is what is known of a worker.
 type WorkerMemory struct {
 	Name      string
-	Since     time.Duration
+	Since     time.Duration // as the list has it
+	Began     time.Duration // it counts as started then, 0 for long ago
 	Deficit   []float64
 	Window    float64
 	Lost      float64
@@ -73,20 +75,20 @@
 
 // Remember returns what the router has learnt.
 func (r *Router) Remember() *Memory {
-	m := &Memory{Turn: slices.Clone(r.turn), Tokens: slices.Clone(r.tokens), Refilled: slices.Clone(r.refilled),
+	m := &Memory{At: r.now, Turn: slices.Clone(r.turn), Tokens: slices.Clone(r.tokens), Refilled: slices.Clone(r.refilled),
 		Arrivals: slices.Clone(r.arrivals), Orders: slices.Clone(r.orders), Seconds: r.seconds, GoodRate: r.goodRate,
 		GoodAt: r.goodAt, Late: r.late, Work: r.work, Calls: r.calls, CalledAt: r.calledAt, Doubt: r.doubt, Spread: r.spread}
 	for _, c := range r.classes {
 		m.Classes = append(m.Classes, ClassMemory{c.mean, c.dev, c.work})
 	}
 	m.Unsent = slices.Clone(r.unused.deficit)
-	used := slices.Clone(r.used)
+	used := r.notable()
 	slices.SortFunc(used, func(a, b *worker) int { return cmp.Compare(a.host.Name, b.host.Name) })
 	for _, w := range used {
 		if w.host.State == Gone {
 			continue
 		}
-		o := WorkerMemory{Name: w.host.Name, Since: w.host.Since, Deficit: slices.Clone(w.deficit), Window: w.window, Lost: w.lost,
+		o := WorkerMemory{Name: w.host.Name, Since: w.host.Since, Began: w.began, Deficit: slices.Clone(w.deficit), Window: w.window, Lost: w.lost,
 			LostAt: w.lostAt, Part: w.part, ShrunkAt: w.shrunkAt, FailedAt: w.failedAt, FullUntil: w.fullUntil, ReadyAt: w.readyAt, StoppedAt: w.stoppedAt,
 			Cold: sentTimes(w.cold)}
 		for _, h := range w.health {
@@ -107,6 +109,18 @@
 	return m
 }
 
+// notable are the workers of which something is known that the list does not tell: those that were used, and those that count as
+// cold, whose start the list may have by a clock that was stepped since.
+func (r *Router) notable() []*worker {
+	all := slices.Clone(r.used)
+	for _, w := range r.ready {
+		if w.use == r.unused && w.began > 0 && r.now-w.began < r.set.ColdFor {
+			all = append(all, w)
+		}
+	}
+	return all
+}
+
 // Rate is how many calls a second were served of late.
 func (m *Memory) Rate(now time.Duration) float64 { return fade(m.GoodRate, now-m.GoodAt, lately) }
 
@@ -157,8 +171,12 @@
 
 // Recall has a new router begin with what another has learnt, before its first event. The workers count as gone until
 // the list names them; one that was started anew since is forgotten then. A memory that does not fit the settings, or
-// that none can have, is refused and changes nothing.
+// that none can have, is refused and changes nothing. Where the two processes' clocks are apart, since the machine's was stepped
+// between their starts, the times are moved to the new one's, in m as well.
 func (r *Router) Recall(m *Memory, now time.Duration) error {
+	if apart := now - m.At; m.At > 0 && (apart > clockApart || apart < -clockApart) {
+		m.shift(apart)
+	}
 	if err := r.fits(m, now); err != nil {
 		return err
 	}
@@ -178,7 +196,7 @@
 		for k := range u.health {
 			u.health[k] = health{aside: o.Aside[k], length: o.Length[k]}
 		}
-		w := &worker{host: Host{Name: o.Name, State: Gone, Since: o.Since}, hash: hashOf(o.Name), use: u}
+		w := &worker{host: Host{Name: o.Name, State: Gone, Since: o.Since}, hash: hashOf(o.Name), began: o.Began, use: u}
 		r.workers[o.Name], r.used, r.departed = w, append(r.used, w), append(r.departed, w)
 	}
 	r.recount()
--- a/decide/memory_check.go
+++ b/decide/memory_check.go
@@ -34,7 +34,7 @@
 			len(w.Cold) > memoryTimes || w.Window < windowMin || w.Window > windowMost {
 			return fmt.Errorf("decide: memory of worker %q", w.Name)
 		}
-		past = append(past, slices.Concat(w.Cold, []time.Duration{w.LostAt, w.ShrunkAt, w.FailedAt, max(0, w.ReadyAt), w.StoppedAt})...)
+		past = append(past, slices.Concat(w.Cold, []time.Duration{w.LostAt, w.ShrunkAt, w.FailedAt, max(0, w.ReadyAt), w.StoppedAt, w.Began})...)
 		figures = append(figures, w.Lost, w.Part)
 		if slices.Max(append(w.Aside, w.FullUntil)) > now+time.Hour || slices.Min(append(w.Length, 0)) < 0 {
 			return fmt.Errorf("decide: memory of worker %q", w.Name)
