Keep a client's connection while the system has no descriptor for the library's copy

Cause: nbio takes a copy of each accepted connection's descriptor (NBConn) and closes the connection where dup fails, so that a client that had written its call was closed unanswered. Found with dup failing by ENFILE and EMFILE in half of the calls of two gateways. Ruled out: accepting without the standard library, which would need no copy: nbio makes connections of net.Conn only. Change: listener.take (wire/sock/listener.go) has the connection wait and tries again every 5 ms; further ones wait in the listen queue. Tests with real processes besides: reads and writes of connections to workers and lists that end with ETIMEDOUT, EHOSTUNREACH and ECONNRESET, and every other write to a socket half taken (sysfault.Outcome.Half).

--- a/internal/fleettest/syscalls_test.go
+++ b/internal/fleettest/syscalls_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -43,14 +44,14 @@
 }
 
 // interrupted has reads and writes of sockets and waits for events end early.
-func interrupted() sysfault.Policy {
+func interrupted(*lab.Lab) sysfault.Policy {
 	return failing(0.2, func(c sysfault.Call) bool {
 		return c.Number != unix.SYS_READ && c.Number != unix.SYS_WRITE || onSocket(c)
 	}, unix.EINTR)
 }
 
 // allInTurns has every accept, socket and connect fail, for a while and again.
-func allInTurns() sysfault.Policy {
+func allInTurns(*lab.Lab) sysfault.Policy {
 	return inTurns(failing(1, func(c sysfault.Call) bool {
 		return c.Number == unix.SYS_ACCEPT4 || c.Number == unix.SYS_SOCKET && onTCP(c) || c.Number == unix.SYS_CONNECT && onSocket(c)
 	}, unix.ENOBUFS, unix.ENFILE), 40)
@@ -61,38 +62,76 @@
 func TestSystemCallsFail(t *testing.T) {
 	for name, c := range map[string]struct {
 		numbers []int
-		policy  func() sysfault.Policy
+		policy  func(*lab.Lab) sysfault.Policy
 	}{
 		"accept": {[]int{unix.SYS_ACCEPT4},
-			func() sysfault.Policy {
+			func(*lab.Lab) sysfault.Policy {
 				return failing(0.5, nil, unix.ECONNABORTED, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM, unix.EINTR)
 			}},
 		"socket": {[]int{unix.SYS_SOCKET},
-			func() sysfault.Policy {
+			func(*lab.Lab) sysfault.Policy {
 				return failing(0.9, onTCP, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM)
 			}},
 		"connect": {[]int{unix.SYS_CONNECT},
-			func() sysfault.Policy {
+			func(*lab.Lab) sysfault.Policy {
 				return failing(0.9, onSocket, unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.ENOBUFS, unix.EINTR)
 			}},
 		"unreachable": {[]int{unix.SYS_CONNECT},
-			func() sysfault.Policy {
+			func(*lab.Lab) sysfault.Policy {
 				return failing(0.6, onSocket, unix.ETIMEDOUT, unix.EHOSTUNREACH, unix.ECONNREFUSED)
 			}},
+		"dup": {[]int{unix.SYS_DUP},
+			func(*lab.Lab) sysfault.Policy { return failing(0.5, nil, unix.EMFILE, unix.ENFILE) }},
 		"all in turns": {[]int{unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT}, allInTurns},
 	} {
-		t.Run(name, func(t *testing.T) { playFaults(t, c.numbers, c.policy, true) })
+		t.Run(name, func(t *testing.T) { faultPlay{numbers: c.numbers, policy: c.policy, breaks: true}.run(t) })
 	}
 }
 
 var interruptible = []int{unix.SYS_READ, unix.SYS_WRITE, unix.SYS_EPOLL_WAIT, unix.SYS_EPOLL_PWAIT}
 
+// notOfClients is a call on a connection that a gateway has made itself, to a worker or the list.
+func notOfClients(l *lab.Lab) func(sysfault.Call) bool {
+	return func(c sysfault.Call) bool {
+		local := c.Local()
+		return local != "" && !slices.ContainsFunc(l.Gateways, func(g *lab.Gateway) bool { return g.Addr == local })
+	}
+}
+
+// Connections to workers and lists end with what a network tells of a peer that is out of reach, as they are read or written:
+// what was in flight on them is answered all the same, and repeated only as its class allows.
+func TestConnectionsToWorkersTimeOut(t *testing.T) {
+	play := faultPlay{numbers: []int{unix.SYS_READ, unix.SYS_WRITE}}
+	play.policy = func(l *lab.Lab) sysfault.Policy {
+		return failing(0.02, notOfClients(l), unix.ETIMEDOUT, unix.EHOSTUNREACH, unix.ECONNRESET)
+	}
+	play.run(t)
+}
+
+// Every other write to a socket takes half of what it was given: the rest follows, and every call is served.
+func TestShortWrites(t *testing.T) {
+	play := faultPlay{numbers: []int{unix.SYS_WRITE}, allServed: true}
+	play.policy = func(*lab.Lab) sysfault.Policy {
+		n := 0
+		return func(c sysfault.Call) sysfault.Outcome {
+			if !onSocket(c) {
+				return sysfault.Outcome{}
+			}
+			n++
+			return sysfault.Outcome{Half: n%2 == 0}
+		}
+	}
+	play.run(t)
+}
+
 // Reads, writes and waits that are interrupted are gone on with: every call is served.
-func TestInterruptedSystemCalls(t *testing.T) { playFaults(t, interruptible, interrupted, false) }
+func TestInterruptedSystemCalls(t *testing.T) {
+	faultPlay{numbers: interruptible, policy: interrupted, allServed: true}.run(t)
+}
 
 // The same while connections to workers break under requests.
 func TestInterruptedSystemCallsAsConnectionsBreak(t *testing.T) {
-	playFaults(t, interruptible, interrupted, true)
+	faultPlay{numbers: interruptible, policy: interrupted, breaks: true}.run(t)
 }
 
 // startSupervised starts the gateways of a fleet, each with its calls of these numbers answered by a supervisor.
@@ -109,21 +148,27 @@
 	return supervisors
 }
 
-// playFaults has system calls of two gateways fail under load by a policy, while connections have to be made anew if breaks says
-// so.
-func playFaults(t *testing.T, numbers []int, policy func() sysfault.Policy, breaks bool) {
+// faultPlay has system calls of two gateways fail under load by a policy.
+type faultPlay struct {
+	numbers   []int
+	policy    func(*lab.Lab) sysfault.Policy
+	breaks    bool // connections to workers and lists are reset meanwhile
+	allServed bool // is wanted
+}
+
+func (p faultPlay) run(t *testing.T) {
 	beside(t)
 	l := prepare(t, lab.Options{Gateways: 2})
-	supervisors := startSupervised(t, l, numbers...)
+	supervisors := startSupervised(t, l, p.numbers...)
 	tr := l.Start(mixed)
 	served(t, tr, 100)
 	for _, s := range supervisors {
-		s.Set(policy())
+		s.Set(p.policy(l))
 	}
 	for round := range 5 {
 		served(t, tr, 80)
 		for _, g := range l.Gateways {
-			if breaks {
+			if p.breaks {
 				g.ListLink().Reset()
 				g.Link(round % len(l.Workers)).Reset()
 			}
@@ -147,7 +192,7 @@
 	if n.Unanswered+n.Unreached > 0 {
 		t.Errorf("calls were lost: %+v\n%q", n, tr.Faults())
 	}
-	if !breaks && n.Served != n.Calls {
+	if p.allServed && n.Served != n.Calls {
 		t.Errorf("calls were not served: %+v", n)
 	}
 	for _, g := range l.Gateways {
--- a/internal/wire/sock/listener.go
+++ b/internal/wire/sock/listener.go
@@ -8,11 +8,15 @@
 	"runtime"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
 )
 
+// takeAgain is the pause after a descriptor that the system did not give.
+const takeAgain = 5 * time.Millisecond
+
 // listener can be closed while its engine goes on: nbio would try to accept again at once, for good. It accepts nothing more
 // while most accepted connections are open, so that clients cannot use up the descriptors that dialled connections need.
 type listener struct {
@@ -49,13 +53,25 @@
 	if err != nil {
 		return nil, err
 	}
-	accepted, err := nbio.NBConn(c)
-	if err != nil {
-		c.Close()
-		return nil, err
+	return l.take(c)
+}
+
+// take makes a connection nbio's, which needs another descriptor for it. While the system has none left it is tried again: the
+// client may have written a call already, and a close would lose it.
+func (l *listener) take(c net.Conn) (net.Conn, error) {
+	for {
+		taken, err := nbio.NBConn(c)
+		if err == nil {
+			l.settle()
+			return taken, nil
+		}
+		select {
+		case <-time.After(takeAgain):
+		case <-l.over:
+			c.Close()
+			return nil, err
+		}
 	}
-	l.settle()
-	return accepted, nil
 }
 
 // opened counts a connection; the engine calls it before the next Accept.
