Start, read the configuration and hand over though the machine lacks descriptors for a moment

Cause: a process ended with 'too many open files' where the first open of its configuration or the first socket failed (lifecycle/config.go nodeConfig, wire/sock/listener.go Bind), and it does not come back by itself; at SIGHUP the same left the old address of the list in force, which tells nothing after 1.5 s. A hand-over lost bans and what was learnt where the link's socket failed (handover/take.go, server.go), and a state that could not be written was not written again (handover/state.go Saver). Ruled out: EADDRINUSE, EACCES and a missing file are told at once as before; a process that is ending does not bind. Change: internal/transient names the errors that pass by themselves (ENFILE, EMFILE, ENOBUFS, ENOMEM, EAGAIN, EINTR) and tries again for 5 s, off the turn; sock.LocalFault goes by it. The Saver writes a state again each second until it is there or a newer one is.

--- a/internal/app/structure_test.go
+++ b/internal/app/structure_test.go
@@ -134,7 +134,7 @@
 
 // layers are the packages by what they may import of the program: those before them, and of their own layer.
 var layers = [][]string{
-	{"internal/ranking"},
+	{"internal/ranking", "internal/transient"},
 	{"decide"},
 	{"internal/settings", "internal/roster", "internal/plan"},
 	{"internal/core"},
--- a/internal/lab/sysfault/supervisor.go
+++ b/internal/lab/sysfault/supervisor.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"os"
 	"os/exec"
 	"strings"
@@ -30,24 +29,6 @@
 	return name
 }
 
-// Local is the address of this end of the socket that the call's first argument refers to, "" if it is none.
-func (c Call) Local() string {
-	process, err := processOf(c.thread)
-	if err != nil {
-		return ""
-	}
-	socket, err := borrow(process, int(c.Args[0]))
-	if err != nil {
-		return ""
-	}
-	defer unix.Close(socket)
-	address, err := unix.Getsockname(socket)
-	if tcp, ok := address.(*unix.SockaddrInet4); ok && err == nil {
-		return netip.AddrPortFrom(netip.AddrFrom4(tcp.Addr), uint16(tcp.Port)).String()
-	}
-	return ""
-}
-
 // Outcome is what becomes of a call. The zero value has it go on.
 type Outcome struct {
 	Errno unix.Errno // it returns this error at once
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -90,7 +90,7 @@
 	if path == "" {
 		return nil, errors.New("NODE_CONFIG names no file")
 	}
-	text, err := os.ReadFile(path)
+	text, err := settings.ReadText(path)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lifecycle/handover/link.go
+++ b/internal/lifecycle/handover/link.go
@@ -70,4 +70,5 @@
 const (
 	linkName = "quillrail.sock"
 	tempName = "quillrail.sock.new"
+	openFor  = 5 * time.Second // for either end of the link, while the machine lacks something for it
 )
--- a/internal/lifecycle/handover/server.go
+++ b/internal/lifecycle/handover/server.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"quillrail/internal/transient"
 )
 
 // Server is where the next process asks.
@@ -17,8 +19,16 @@
 	ev  Events
 }
 
-// Listen takes the place in dir where the next process will ask, from whoever has it now.
-func Listen(dir string, who Who, ev Events) (*Server, error) {
+// Listen takes the place in dir where the next process will ask, from whoever has it now. It may block for a while.
+func Listen(dir string, who Who, ev Events) (door *Server, err error) {
+	err = transient.Retry(openFor, func() (err error) {
+		door, err = listen(dir, who, ev)
+		return err
+	})
+	return door, err
+}
+
+func listen(dir string, who Who, ev Events) (*Server, error) {
 	path, d, err := short(dir)
 	if err != nil {
 		return nil, err
--- a/internal/lifecycle/handover/state.go
+++ b/internal/lifecycle/handover/state.go
@@ -10,6 +10,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"time"
 
 	"quillrail/decide"
 	"quillrail/internal/roster"
@@ -117,20 +118,42 @@
 	done chan struct{}
 }
 
-// NewSaver returns a Saver for dir; failed is told of what could not be written, on the Saver's goroutine.
-func NewSaver(dir string, failed func(error)) *Saver {
+// saveAgain is the pause after a state that could not be written.
+const saveAgain = time.Second
+
+// NewSaver returns a Saver for dir; failed is told of what could not be written, on the Saver's goroutine. It is written again,
+// unless a newer one has come, until that succeeds or the Saver is closed.
+func NewSaver(dir string, failed func(error)) *Saver { return newSaver(dir, saveAgain, failed) }
+
+func newSaver(dir string, pause time.Duration, failed func(error)) *Saver {
 	s := &Saver{next: make(chan State, 1), done: make(chan struct{})}
 	go func() {
 		defer close(s.done)
 		for state := range s.next {
-			if err := Save(dir, state); err != nil {
-				failed(err)
-			}
+			s.write(dir, state, pause, failed)
 		}
 	}()
 	return s
 }
 
+func (s *Saver) write(dir string, state State, pause time.Duration, failed func(error)) {
+	for {
+		err := Save(dir, state)
+		if err == nil {
+			return
+		}
+		failed(err)
+		select {
+		case newer, open := <-s.next:
+			if !open {
+				return
+			}
+			state = newer
+		case <-time.After(pause):
+		}
+	}
+}
+
 // Save hands over a state and never waits. It must not be called from two goroutines at once.
 func (s *Saver) Save(state State) {
 	select {
--- a/internal/lifecycle/handover/take.go
+++ b/internal/lifecycle/handover/take.go
@@ -9,25 +9,22 @@
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"quillrail/internal/transient"
 )
 
 // Take asks the process that serves for its listening socket and its state. ErrNone says that nobody answers. On the
 // Peer Start has to be called.
 func Take(dir string, who Who) (*Peer, net.Listener, State, error) {
 	fail := func(err error) (*Peer, net.Listener, State, error) { return nil, nil, State{}, err }
-	path, d, err := short(dir)
+	var conn *net.UnixConn
+	err := transient.Retry(openFor, func() (err error) {
+		conn, err = dial(dir)
+		return err
+	})
 	if err != nil {
 		return fail(err)
 	}
-	defer d.Close()
-	c, err := net.DialTimeout("unix", filepath.Join(path, linkName), helloLimit)
-	switch {
-	case errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ECONNREFUSED):
-		return fail(ErrNone)
-	case err != nil:
-		return fail(err)
-	}
-	conn := c.(*net.UnixConn)
 	ln, state, err := ask(conn, who)
 	if err != nil {
 		conn.Close()
@@ -36,6 +33,23 @@
 	return newPeer(conn), ln, state, nil
 }
 
+// dial connects to the process that serves.
+func dial(dir string) (*net.UnixConn, error) {
+	path, d, err := short(dir)
+	if err != nil {
+		return nil, err
+	}
+	defer d.Close()
+	conn, err := net.DialTimeout("unix", filepath.Join(path, linkName), helloLimit)
+	switch {
+	case errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ECONNREFUSED):
+		return nil, ErrNone
+	case err != nil:
+		return nil, err
+	}
+	return conn.(*net.UnixConn), nil
+}
+
 func ask(conn *net.UnixConn, who Who) (net.Listener, State, error) {
 	conn.SetDeadline(time.Now().Add(helloLimit))
 	b, err := frame(message{Kind: "hello", Who: &who})
--- a/internal/settings/file.go
+++ b/internal/settings/file.go
@@ -3,13 +3,28 @@
 import (
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/BurntSushi/toml"
+
+	"quillrail/internal/transient"
 )
 
+// readFor is how long a file is tried to be read while the machine lacks something for it.
+const readFor = 5 * time.Second
+
+// ReadText reads a file whole. It is for those that a process cannot do without: it waits while the system has no descriptor.
+func ReadText(path string) (text []byte, err error) {
+	err = transient.Retry(readFor, func() (err error) {
+		text, err = os.ReadFile(path)
+		return err
+	})
+	return text, err
+}
+
 // ReadFile reads an optional TOML file of the project's own. One that does not exist turns off what it would configure.
 func ReadFile[T any](path string, parse func(text string) (*T, error)) (*T, error) {
-	text, err := os.ReadFile(path)
+	text, err := ReadText(path)
 	if os.IsNotExist(err) {
 		return new(T), nil
 	}
--- a/internal/wire/sock/dial.go
+++ b/internal/wire/sock/dial.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/lesismal/nbio"
+
+	"quillrail/internal/transient"
 )
 
 const (
@@ -15,13 +17,13 @@
 	dialSpare = 10 * time.Millisecond // before its time is over a connect gives up, so that its reason is told
 )
 
-// localFaults are errors of a connect that say nothing of the peer: this machine lacks something for a moment.
-var localFaults = []error{syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN,
-	syscall.EINTR, syscall.ENETUNREACH, syscall.ENETDOWN}
+// localFaults are errors of a connect that say nothing of the peer, besides those that pass by themselves: this machine has no port
+// or no way out for a moment.
+var localFaults = []error{syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENETDOWN}
 
 // LocalFault reports whether an error that Dial gave is of this machine and not of the peer.
 func LocalFault(err error) bool {
-	return slices.ContainsFunc(localFaults, func(fault error) bool { return errors.Is(err, fault) })
+	return transient.Is(err) || slices.ContainsFunc(localFaults, func(fault error) bool { return errors.Is(err, fault) })
 }
 
 // Dial opens a connection whose bytes go to h. done is called once, with the connection or with an error, on a
--- a/internal/wire/sock/listener.go
+++ b/internal/wire/sock/listener.go
@@ -12,6 +12,8 @@
 
 	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
+
+	"quillrail/internal/transient"
 )
 
 // takeAgain is the pause after a descriptor that the system did not give.
@@ -101,8 +103,20 @@
 	return l.Listener.Close()
 }
 
-// Bind opens a listening socket. shared lets another process of the gateway bind the same address.
-func Bind(addr string, shared bool) (net.Listener, error) {
+// bindFor is how long a listening socket is tried to be had while the machine lacks something for it.
+const bindFor = 5 * time.Second
+
+// Bind opens a listening socket. shared lets another process of the gateway bind the same address. It waits while the system has
+// no descriptor or buffer for it: a process that ended for that would not come back by itself.
+func Bind(addr string, shared bool) (ln net.Listener, err error) {
+	err = transient.Retry(bindFor, func() (err error) {
+		ln, err = bind(addr, shared)
+		return err
+	})
+	return ln, err
+}
+
+func bind(addr string, shared bool) (net.Listener, error) {
 	var conf net.ListenConfig
 	if shared {
 		conf.Control = func(_, _ string, c syscall.RawConn) (err error) {
--- a/internal/wire/sock/reaper.go
+++ b/internal/wire/sock/reaper.go
@@ -8,6 +8,8 @@
 
 	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
+
+	"quillrail/internal/transient"
 )
 
 // ringAgain is the pause after a wake-up of the poller that failed.
@@ -37,7 +39,11 @@
 
 // open returns the connection that the poller hears the ring by.
 func (r *reaper) open() (*nbio.Conn, error) {
-	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
+	var fds [2]int
+	err := transient.Retry(bindFor, func() (err error) {
+		fds, err = unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
