--- a/internal/fleet/agreement/show.go
+++ b/internal/fleet/agreement/show.go
@@ -135,7 +135,7 @@
 			way = " backwards"
 		}
 		line += way
-		line += fmt.Sprintf(", wave %d of %d", r.Wave+1, len(r.Waves))
+		line += fmt.Sprintf(", batch %d of %d", r.Batch+1, len(r.Batches))
 	}
 	if r.Stood > 0 {
 		line += fmt.Sprintf(", proving itself for %.0f s", float64(st.At-r.Stood)/1000)
--- a/internal/fleet/change/course.go
+++ b/internal/fleet/change/course.go
@@ -26,12 +26,12 @@
 	return k.at(r.What) == r.Target(t) && k.Health == Well && s.PermitOf(t) == nil
 }
 
-// Steps are the things of a release's present wave, backwards only those that it has touched.
+// Steps are the things of a release's present batch, backwards only those that it has touched.
 func (r *Release) Steps() []Thing {
-	if r.Wave < 0 || r.Wave >= len(r.Waves) {
+	if r.Batch < 0 || r.Batch >= len(r.Batches) {
 		return nil
 	}
-	w := slices.Clone(r.Waves[r.Wave])
+	w := slices.Clone(r.Batches[r.Batch])
 	if r.Backward {
 		w = slices.DeleteFunc(w, func(t Thing) bool { return !r.Touched[t] })
 	}
@@ -59,7 +59,7 @@
 	return nil, fmt.Errorf("no release %d is under way", id)
 }
 
-// Stand says that all of the wave stand at what is wanted, and prove themselves from now on.
+// Stand says that all of the batch stand at what is wanted, and prove themselves from now on.
 func (s *State) Stand(c Context, id uint64) error {
 	r, err := s.running(id)
 	if err != nil || r.Course != Running {
@@ -74,23 +74,23 @@
 	return nil
 }
 
-// Next goes on to the next wave, or ends the release. The wave has to have stood for as long as it proves itself.
+// Next goes on to the next batch, or ends the release. The batch has to have stood for as long as it proves itself.
 func (s *State) Next(c Context, id uint64) error {
 	r, err := s.running(id)
 	switch {
 	case err != nil:
 		return err
 	case r.Course != Running || r.Stood == 0:
-		return fmt.Errorf("wave %d of release %s does not stand", r.Wave+1, r.Name)
+		return fmt.Errorf("batch %d of release %s does not stand", r.Batch+1, r.Name)
 	case !r.Backward && c.At-r.Stood < r.ProveMs:
-		return fmt.Errorf("wave %d of release %s has proved itself for %d of %d ms", r.Wave+1, r.Name, c.At-r.Stood, r.ProveMs)
+		return fmt.Errorf("batch %d of release %s has proved itself for %d of %d ms", r.Batch+1, r.Name, c.At-r.Stood, r.ProveMs)
 	}
 	r.Stood = 0
 	if r.Backward {
-		if r.Wave--; r.Wave < 0 {
+		if r.Batch--; r.Batch < 0 {
 			r.Course, r.Reason = Undone, ""
 		}
-	} else if r.Wave++; r.Wave >= len(r.Waves) {
+	} else if r.Batch++; r.Batch >= len(r.Batches) {
 		r.Course, r.Reason = Done, ""
 	}
 	return nil
@@ -128,7 +128,7 @@
 	return nil
 }
 
-// RollBack takes a release back: exactly what it has touched goes to where it stood, wave by wave from the last.
+// RollBack takes a release back: exactly what it has touched goes to where it stood, batch by batch from the last.
 func (s *State) RollBack(c Context, id uint64, reason string) error {
 	var r *Release
 	for _, o := range s.Releases {
@@ -152,7 +152,7 @@
 			p.At = c.At
 		}
 	}
-	r.Wave = min(r.Wave, len(r.Waves)-1)
+	r.Batch = min(r.Batch, len(r.Batches)-1)
 	r.Backward, r.Course, r.Reason, r.Stood, r.Word = true, Running, reason, 0, c.At
 	return nil
 }
--- a/internal/fleet/change/drive.go
+++ b/internal/fleet/change/drive.go
@@ -66,7 +66,7 @@
 type Driver struct {
 	judge   *Judge
 	of      uint64 // the release and
-	wave    int    // wave that judge is for
+	batch   int    // batch that judge is for
 	fed     int64
 	usual   map[string][]Tally
 	last    map[string]Counts
--- a/internal/fleet/change/judge.go
+++ b/internal/fleet/change/judge.go
@@ -77,7 +77,7 @@
 // Seen is how many calls of a class those changed have ended.
 func (j *Judge) Seen(class int) uint64 { return j.seen[class] }
 
-// Again has Seen count anew, for another wave.
+// Again has Seen count anew, for another batch.
 func (j *Judge) Again() { clear(j.seen) }
 
 func (t Tally) calls() uint64 { return t.Served + t.Shed + t.Failed }
--- a/internal/fleet/change/release.go
+++ b/internal/fleet/change/release.go
@@ -28,23 +28,23 @@
 	return [...]string{"running", "halted", "done", "taken back"}[min(c, Undone)]
 }
 
-// Release is a stated change that goes over the fleet in waves.
+// Release is a stated change that goes over the fleet in batches.
 type Release struct {
 	ID            uint64
 	Name, By, Why string
 	What, To      string
-	Waves         [][]Thing
+	Batches       [][]Thing        `json:"Waves" msgpack:"Waves"` // the names that versions before gave them stay on disk and between gateways
 	From          map[Thing]string // what each stood at when the release was stated
 	Touched       map[Thing]bool   // those for which a step was begun: they may have been changed
-	Wave          int
+	Batch         int              `json:"Wave" msgpack:"Wave"` // that is under way
 	Backward      bool
 	Course        Course
 	Reason        string // why it stands still
-	Stood         int64  // since when all of the wave stand at what is wanted, Unix ms; 0: they don't
+	Stood         int64  // since when all of the batch stand at what is wanted, Unix ms; 0: they don't
 	Begun         int64
 	Word          int64 // when it was last told to go on or back, Unix ms: what was lost before is known
 
-	ProveMs, MostMs int64   // a wave proves itself for so long, and at most for so long where calls are few
+	ProveMs, MostMs int64   // a batch proves itself for so long, and at most for so long where calls are few
 	StepMs          int64   // a step that takes longer halts the release
 	Alpha           float64 // chance of a halt without a cause, over the whole release
 	Worse           float64 // failures may be so many times as frequent as at those not changed
@@ -121,7 +121,7 @@
 	return nil
 }
 
-// Begin states a release. Its waves are one gateway, then a part of that one's hall, then the rest of it, then hall by hall.
+// Begin states a release. Its batches are one gateway, then a part of that one's hall, then the rest of it, then hall by hall.
 func (s *State) Begin(c Context, r *Release) error {
 	if err := r.Check(); err != nil {
 		return err
@@ -129,7 +129,7 @@
 	if o := s.Current(); o != nil {
 		return fmt.Errorf("release %s is %s: one at a time", o.Name, o.Course)
 	}
-	r.ID, r.Begun, r.Course, r.Backward, r.Wave, r.Stood = c.Index, c.At, Running, false, 0, 0
+	r.ID, r.Begun, r.Course, r.Backward, r.Batch, r.Stood = c.Index, c.At, Running, false, 0, 0
 	r.From, r.Touched = map[Thing]string{}, map[Thing]bool{}
 	kind := Gateway
 	if r.What == Workers {
@@ -148,15 +148,15 @@
 	if len(r.From) > maxThings {
 		return fmt.Errorf("a release over %d things, %d at most", len(r.From), maxThings)
 	}
-	r.Waves = waves(halls)
+	r.Batches = batches(halls)
 	if s.Releases = append(s.Releases, r); len(s.Releases) > maxReleases {
 		s.Releases = s.Releases[1:]
 	}
 	return nil
 }
 
-// waves orders the things of halls.
-func waves(halls map[string][]Thing) (out [][]Thing) {
+// batches orders the things of halls.
+func batches(halls map[string][]Thing) (out [][]Thing) {
 	for i, h := range slices.Sorted(maps.Keys(halls)) {
 		all := halls[h]
 		if i > 0 {
--- a/internal/fleet/change/simulation/gateway.go
+++ b/internal/fleet/change/simulation/gateway.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// baseline has all gateways changed at once, or in waves of a tenth each 30 s, by time alone.
+// baseline has all gateways changed at once, or in batches of a tenth each 30 s, by time alone.
 func (p *play) baseline() {
 	for i, g := range p.all {
 		g.next, g.nextAt = "v2", p.now+tick
--- a/internal/fleet/change/simulation/simulation.go
+++ b/internal/fleet/change/simulation/simulation.go
@@ -1,5 +1,5 @@
 // Package simulation plays releases and drains over fleets of a size that no machine has sockets for, on a clock of its own:
-// the permits, waves, comparisons and limits are those of package change; gateways, their calls and those who restart them
+// the permits, batches, comparisons and limits are those of package change; gateways, their calls and those who restart them
 // are a few lines each. Same seed, same play.
 package simulation
 
@@ -33,7 +33,7 @@
 const (
 	Ours      Way = "ours"
 	AllAtOnce Way = "all at once"
-	ByTime    Way = "fixed waves"
+	ByTime    Way = "fixed batches"
 )
 
 // Options say what is played.
--- a/internal/fleet/change/steps.go
+++ b/internal/fleet/change/steps.go
@@ -93,8 +93,8 @@
 		d.judge = NewJudge(r.Alpha, r.Worse, r.Slower, v.Classes, d.usual)
 		d.of = r.ID
 	}
-	if d.wave != r.Wave { // what is proven counts on, whoever else is changed
-		d.wave = r.Wave
+	if d.batch != r.Batch { // what is proven counts on, whoever else is changed
+		d.batch = r.Batch
 		d.judge.Again()
 	}
 	if v.At-d.fed < feedEvery {
@@ -113,10 +113,10 @@
 	return ""
 }
 
-// proven reports whether the wave has proved itself: for its time, and with enough calls of each class or for long.
+// proven reports whether the batch has proved itself: for its time, and with enough calls of each class or for long.
 func (d *Driver) proven(r *Release, v *View) bool {
 	stood := v.At - r.Stood
-	if r.What == Workers || stood < r.ProveMs || d.judge == nil || d.wave != r.Wave {
+	if r.What == Workers || stood < r.ProveMs || d.judge == nil || d.batch != r.Batch {
 		return r.What == Workers && stood >= r.ProveMs
 	}
 	if stood >= r.MostMs {
@@ -130,8 +130,8 @@
 	return true
 }
 
-// enoughCalls of each class are wanted of those changed before the next wave; a class that comes seldom is waited for for
-// the most that a wave may take.
+// enoughCalls of each class are wanted of those changed before the next batch; a class that comes seldom is waited for for
+// the most that a batch may take.
 const enoughCalls = 100
 
 // suddenFor is how many ms an unplanned start counts towards a loss of power.
--- a/internal/fleet/replog/kinds.go
+++ b/internal/fleet/replog/kinds.go
@@ -137,7 +137,7 @@
 	if r.Freeze != change.FreezeRefuses {
 		return nil
 	}
-	need := time.Duration(int64(len(r.Waves))*r.ProveMs+int64(len(r.From))*stepUsual) * time.Millisecond
+	need := time.Duration(int64(len(r.Batches))*r.ProveMs+int64(len(r.From))*stepUsual) * time.Millisecond
 	for _, p := range s.Freeze.Periods {
 		if next, ok := p.Next(s.Clock().At); ok && p.Covers(freeze.Releases, nil) && next.Sub(s.Clock().At)-s.Clock().Bound < need {
 			s.Change.Releases = s.Change.Releases[:len(s.Change.Releases)-1]
--- a/internal/fleettest/agreed_test.go
+++ b/internal/fleettest/agreed_test.go
@@ -107,7 +107,7 @@
 	return map[string][]string{"v1": nil, "v2": {"QUILLRAIL_TEST_FAULT=" + fault}}
 }
 
-// A release goes over the fleet in waves. A harmless one comes to all; one that crashes at its start, or sheds a part of one
+// A release goes over the fleet in batches. A harmless one comes to all; one that crashes at its start, or sheds a part of one
 // class, halts by itself and is taken back from exactly those that it had reached. Nobody loses a call by it.
 func TestAgreedChangeReleases(t *testing.T) {
 	beside(t)
--- a/internal/fleettest/alone_test.go
+++ b/internal/fleettest/alone_test.go
@@ -48,7 +48,7 @@
 	settled(t, l)
 	l.Supervise(versionsOf(""))
 	asked(t, l.Gateways[5], "declare release name=two by=anna version=v2 prove_s=3 most_s=4 step_s=20")
-	saying(t, l.Gateways[1], "wave 2 of 5")
+	saying(t, l.Gateways[1], "batch 2 of 5")
 	l.PowerLoss(l.Gateways, nil)
 	for _, i := range []int{1, 4, 6} { // one of the three voters among them
 		if err := l.Gateways[i].Disk("empty"); err != nil {
