Reproduce what a log that nobody reads does to gateways, as two known red tests

Found by asking what else a file or a pipe may hold up: the log is written to standard error from the turn (app.go serve, zap without a queue). With its reader standing still the pipe fills and no call is answered; with its reader gone the next line ends the process.

--- /dev/null
+++ b/internal/fleettest/log_test.go
@@ -0,0 +1,53 @@
+package fleettest
+
+import (
+	"testing"
+
+	"quillrail/internal/lab"
+)
+
+// Whoever reads a gateway's log stands still, so that the pipe between them is full: calls go on, and once the log is read again it
+// says how much is missing.
+func TestLogThatNobodyReads(t *testing.T) {
+	beside(t)
+	l := start(t, lab.Options{Gateways: 2, Arguments: []string{"--log-level", "debug"}})
+	tr := l.Start(mixed)
+	served(t, tr, 100)
+	func() {
+		for _, g := range l.Gateways {
+			g.Process().HoldLog()
+			defer g.Process().ReleaseLog()
+		}
+		served(t, tr, 1500) // several times what a pipe holds
+	}()
+	for _, g := range l.Gateways {
+		if _, err := g.Process().Await("log lines dropped", eventLimit); err != nil {
+			t.Error(err)
+		}
+	}
+	n := verdict(t, l, tr)
+	mostServed(t, n)
+	answered(t, n, tr)
+}
+
+// The reader of a gateway's log has gone for good: the process goes on, and ends as it is asked to.
+func TestLogWhoseReaderHasGone(t *testing.T) {
+	beside(t)
+	l := start(t, lab.Options{Gateways: 2, Arguments: []string{"--log-level", "debug"}})
+	tr := l.Start(mixed)
+	served(t, tr, 100)
+	for _, g := range l.Gateways {
+		g.Process().CloseLog()
+	}
+	served(t, tr, 300)
+	if err := l.Gateways[0].Terminate(); err != nil {
+		t.Error(err)
+	}
+	if err := l.Gateways[0].Start(); err != nil {
+		t.Fatal(err)
+	}
+	served(t, tr, 200)
+	n := verdict(t, l, tr)
+	mostServed(t, n)
+	answered(t, n, tr)
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -18,15 +18,16 @@
 
 // Options say what a lab holds. What is left out has the value of Defaults.
 type Options struct {
-	Program  []string                   // the command that starts a gateway, with its arguments
-	Env      []string                   // added to the environment of gateways,
-	EnvOf    func(gateway int) []string // and of one, from 0; nil for none
-	Dir      string                     // for configurations and what gateways keep; it has to exist
-	Seed     uint64                     // of everything that is drawn
-	Gateways int                        // 1 to 250
-	Workers  int                        // 1 to 250, taking turns among the halls
-	Halls    int                        // 1 to 8
-	Log      io.Writer                  // what is done to the fleet, a line each; nil for nowhere
+	Program   []string                   // the command that starts a gateway, with its arguments
+	Arguments []string                   // and further ones
+	Env       []string                   // added to the environment of gateways,
+	EnvOf     func(gateway int) []string // and of one, from 0; nil for none
+	Dir       string                     // for configurations and what gateways keep; it has to exist
+	Seed      uint64                     // of everything that is drawn
+	Gateways  int                        // 1 to 250
+	Workers   int                        // 1 to 250, taking turns among the halls
+	Halls     int                        // 1 to 8
+	Log       io.Writer                  // what is done to the fleet, a line each; nil for nowhere
 
 	Lanes     int           // calls that a copy runs at a time
 	Work      time.Duration // of a call, on average
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -28,6 +29,8 @@
 	mu       sync.Mutex
 	lines    []map[string]any // of its log, those not awaited yet
 	raw      []string         // the last of it, as written
+	log      *os.File         // where it is read
+	reading  chan struct{}    // closed while it is read
 	more     chan struct{}
 	over     chan struct{} // closed when it has ended
 	err      error
@@ -38,7 +41,7 @@
 	if err := l.configure(g); err != nil { // with what the list has told so far
 		return nil, err
 	}
-	args := append([]string(nil), l.Program[1:]...)
+	args := slices.Concat(l.Program[1:], l.Arguments)
 	g.mu.Lock()
 	version, own, supervisor := g.version, g.env, g.supervisor
 	env := own
@@ -75,8 +78,8 @@
 		out.Close()
 		return nil, err
 	}
-	p := &Process{Name: g.Name, version: version, env: own, cmd: cmd, more: make(chan struct{}), over: make(chan struct{})}
-	go p.read(out)
+	p := &Process{Name: g.Name, version: version, env: own, cmd: cmd, log: out, reading: closedChannel(), more: make(chan struct{}), over: make(chan struct{})}
+	go p.read()
 	line, err := p.Await("operators are heard", startLimit)
 	if err != nil {
 		p.End(syscall.SIGKILL)
@@ -86,8 +89,12 @@
 	return p, nil
 }
 
-func (p *Process) read(out *os.File) {
-	for in := bufio.NewScanner(out); in.Scan(); {
+func (p *Process) read() {
+	for in := bufio.NewScanner(p.log); in.Scan(); {
+		p.mu.Lock()
+		reading := p.reading
+		p.mu.Unlock()
+		<-reading
 		var line map[string]any
 		ok := json.Unmarshal(in.Bytes(), &line) == nil
 		p.mu.Lock()
@@ -103,11 +110,34 @@
 		p.more = make(chan struct{})
 		p.mu.Unlock()
 	}
-	out.Close()
+	p.log.Close()
 	p.err = p.cmd.Wait()
 	close(p.over)
 }
 
+// HoldLog stops the reading of the log until the process is released: the pipe fills up.
+func (p *Process) HoldLog() {
+	p.mu.Lock()
+	p.reading = make(chan struct{})
+	p.mu.Unlock()
+}
+
+// CloseLog ends the reading of the log for good.
+func (p *Process) CloseLog() { p.log.Close() }
+
+// ReleaseLog goes on with reading it.
+func (p *Process) ReleaseLog() {
+	p.mu.Lock()
+	close(p.reading)
+	p.mu.Unlock()
+}
+
+func closedChannel() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
 // Await waits for a line of the log, each of which is found once.
 func (p *Process) Await(msg string, limit time.Duration) (map[string]any, error) {
 	late := time.After(limit)
