Write the log beside the turn, and live on when its reader has gone

Class: a file that may hold the turn up; the other files (state of upgrades, the fleet's folder) are written beside it already. Ruled out: zap's buffered writer, whose flush holds its lock while it waits, so that the next line waits too. Change: logQueue (app/logqueue.go) keeps up to 256 KB of lines that a goroutine writes; what finds no room is dropped and counted in a line of its own; the end waits 0.2 s for the last. SIGPIPE is ignored in serve. Sampling, form and levels are as they were.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -11,7 +11,6 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
-	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"quillrail/internal/lifecycle"
@@ -88,16 +87,8 @@
 	if err != nil {
 		return err
 	}
-	z := zap.NewProductionConfig()
-	z.Level.SetLevel(level)
-	z.DisableStacktrace, z.DisableCaller = true, true
-	z.OutputPaths, z.ErrorOutputPaths = []string{"stderr"}, []string{"stderr"}
-	z.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	z.EncoderConfig.TimeKey = "time"
-	log, err := z.Build(zap.Fields(zap.String("node", conf.Name)))
-	if err != nil {
-		return err
-	}
+	signal.Ignore(syscall.SIGPIPE) // a log whose reader has gone is no reason to end
+	log := newLogger(os.Stderr, level, conf.Name)
 	defer log.Sync()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
