--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 	"strconv"
 	"testing"
 	"time"
@@ -72,8 +73,9 @@
 	return l
 }
 
-// places are for tests that play beside each other: two, so that a machine of four cores has no test wait for its cores.
-var places = make(chan struct{}, 2)
+// places are for tests that play beside each other: two on a machine of four cores and three on one of eight, so that no test waits
+// for its cores.
+var places = make(chan struct{}, 1+max(1, runtime.NumCPU()/4))
 
 func beside(t *testing.T) {
 	t.Parallel()
