Hand on no more cold workers than a memory has room for

Cause: hands on the workers that count as cold though they were never used; a large fleet may have thousands at once, and a memory of more than 4,096 workers is refused whole (memory_check.go fits). Change: 1,024 of them at most, and none where those that were used leave no room (memory.go notable). Figures: TestMemoryOfManyColdWorkers (8,192 of them): refused before, taken now.

--- a/decide/memory.go
+++ b/decide/memory.go
@@ -10,7 +10,7 @@
 // Memory is what a router has learnt, to be handed on to the next process of its gateway. It holds nothing of open
 // requests: these stay with the process that took them. Times are of the clock of the process that hands it on.
 type Memory struct {
-	At       time.Duration   `json:"at"` // of that clock, when it was handed on; 0 where its times are of the next process's clock
+	At       time.Duration    `json:"at"` // of that clock, when it was handed on; 0 where its times are of the next process's clock
 	Classes  []ClassMemory    `json:"classes"`
 	Turn     []float64        `json:"turn"`
 	Tokens   []float64        `json:"tokens"`
@@ -110,12 +110,17 @@
 }
 
 // notable are the workers of which something is known that the list does not tell: those that were used, and those that count as
-// cold, whose start the list may have by a clock that was stepped since.
+// cold, whose start the list may have by a clock that was stepped since. Of the latter no more than there is room for: a large
+// fleet may have thousands.
 func (r *Router) notable() []*worker {
 	all := slices.Clone(r.used)
+	room := min(memoryCold, memoryWorkers-len(all))
 	for _, w := range r.ready {
+		if room <= 0 {
+			break
+		}
 		if w.use == r.unused && w.began > 0 && r.now-w.began < r.set.ColdFor {
-			all = append(all, w)
+			all, room = append(all, w), room-1
 		}
 	}
 	return all
--- a/decide/memory_check.go
+++ b/decide/memory_check.go
@@ -9,6 +9,7 @@
 
 const (
 	memoryWorkers   = 4096 // bounds of a memory
+	memoryCold      = 1024 // of these that were not used
 	memoryFunctions = 65536
 	memoryTimes     = 1 << 17
 )
--- a/decide/memory_clock_test.go
+++ b/decide/memory_clock_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -47,6 +48,23 @@
 	}
 }
 
+// Thousands of workers that come up at once, as a zone that returns does, leave room for those that were used.
+func TestMemoryOfManyColdWorkers(t *testing.T) {
+	old := start(t, site(), 5)
+	list := List{}
+	for i := range 2 * memoryWorkers {
+		list.Hosts = append(list.Hosts, Host{Name: fmt.Sprint("cold", i), Since: old.now})
+	}
+	old.do(list)
+	home := old.warm(0, "f")
+	m := old.r.Remember()
+	next := start(t, site(), 0)
+	next.now = old.now
+	if err := next.r.Recall(m, next.now); err != nil || next.r.workers[home] == nil {
+		t.Errorf("%d workers: %v", len(m.Workers), err)
+	}
+}
+
 // A memory of a version that does not tell its clock is taken as of this one's.
 func TestMemoryWithoutItsClock(t *testing.T) {
 	_, next, m := taught(t, 2)
