Take the place for the next process again where its folder had no room at the start

Cause: handover.Listen is called once, as calls begin to be taken (lifecycle/upgrade.go open); where it failed, by ENOSPC for one, no new version could take over from that process, and its upgrade lost connections, bans and what was learnt. Ruled out: waiting for it at the start: calls are taken meanwhile. Change: it is tried again each second, unless the process ends.

--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -66,6 +66,9 @@
 	u.share()
 }
 
+// openAgain is the pause after a place for the next process that could not be had: the folder may be full for a while.
+const openAgain = time.Second
+
 // open takes the place where the next process asks, off the turn.
 func (u *upgrade) open() {
 	if u.opening || u.g.terminating {
@@ -78,6 +81,7 @@
 			u.opening = false
 			if err != nil {
 				u.g.log.Warn("a new process won't be able to take over", zap.Error(err))
+				u.g.loop.After(openAgain, u.open)
 				return
 			}
 			if u.door != nil {
