Count only writes that closed a descriptor themselves, and word what answers an operator

Read again: a write to a connection that the poller has closed counted as one that closed a descriptor, so that the next new connection waited for the poller without need.

--- a/internal/fleet/agreement/declare.go
+++ b/internal/fleet/agreement/declare.go
@@ -162,7 +162,7 @@
 	a.Propose(kind, by, except, body, a.answerInTime(done))
 }
 
-// answerInTime is done, but that it is called once and by then: an operator does not wait for longer.
+// answerInTime wraps what answers an operator: done is called once, after askOperator at the latest, then with an error.
 func (a *Agent) answerInTime(done func(index uint64, err error)) func(index uint64, err error) {
 	over := false
 	late := a.host.Loop().After(askOperator, func() {
--- a/internal/wire/sock/conn.go
+++ b/internal/wire/sock/conn.go
@@ -1,6 +1,8 @@
 package sock
 
 import (
+	"errors"
+	"net"
 	"sync"
 	"sync/atomic"
 
@@ -52,7 +54,7 @@
 	c.s.unsent.Add(int64(len(b)))
 	c.n.writing.Lock()
 	n, err := c.Conn.Write(b)
-	if err != nil {
+	if err != nil && !errors.Is(err, net.ErrClosed) { // else the poller has closed it
 		c.n.closedInWrite++
 	}
 	c.n.writing.Unlock()
