Have crowds of soaks send a call again that crossed the close of a connection that said nothing

Ruled out: a descriptor mistaken (no write had failed, and each such close comes 0.1 s after the connection was taken).

--- a/internal/lab/line.go
+++ b/internal/lab/line.go
@@ -57,7 +57,7 @@
 		return t.connect(ctx, i)
 	}}
 	defer tr.CloseIdleConnections()
-	by := &http.Client{Transport: crossing{tr, t.lab}}
+	by := &http.Client{Transport: crossing{RoundTripper: tr, lab: t.lab}}
 	for n := lineBase * (i + 1); ; n++ {
 		select {
 		case <-t.stop:
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -24,11 +24,12 @@
 
 // Traffic is clients at work.
 type Traffic struct {
-	lab  *Lab
-	load Load
-	stop chan struct{}
-	wg   sync.WaitGroup
-	http *http.Client
+	lab   *Lab
+	load  Load
+	stop  chan struct{}
+	wg    sync.WaitGroup
+	http  *http.Client
+	crowd *http.Client // of those that come at once
 
 	crowded atomic.Int64 // calls of crowds so far
 
@@ -46,9 +47,11 @@
 
 // Start has clients call until the traffic is ended.
 func (l *Lab) Start(o Load) *Traffic {
+	each := &http.Transport{DisableKeepAlives: true}
 	t := &Traffic{lab: l, load: o, stop: make(chan struct{}),
-		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-		met:  map[string]string{}, latency: hdrhistogram.New(1, 60_000_000, 3), late: hdrhistogram.New(1, 60_000_000, 3)}
+		http:  &http.Client{Transport: each},
+		crowd: &http.Client{Transport: crossing{RoundTripper: each, lab: l, crowd: true}},
+		met:   map[string]string{}, latency: hdrhistogram.New(1, 60_000_000, 3), late: hdrhistogram.New(1, 60_000_000, 3)}
 	t.begun = time.Now()
 	if o.Rate > 0 {
 		t.wg.Add(1)
--- a/internal/lab/signals.go
+++ b/internal/lab/signals.go
@@ -45,7 +45,7 @@
 			defer t.wg.Done()
 			number := crowdBase + first + n
 			body := fmt.Sprintf("r%08d", number)
-			t.ended(body, t.try(number, 0, n%t.load.Functions, body, g), due, 0)
+			t.ended(body, t.try(t.crowd, number, 0, n%t.load.Functions, body, g), due, 0)
 		}()
 	}
 }
