Take no dialled connection into an engine that has begun to stop

A running gateway never stops its engine, so that only tests met it. Change: Net.add refuses with net.ErrClosed once Stop has begun, under a lock that both hold. An acceptor has the same gap by nbio's own loop, which stops its listener first; it is not closed here.

--- a/internal/wire/sock/dial.go
+++ b/internal/wire/sock/dial.go
@@ -42,7 +42,7 @@
 		s.set(h, false)
 		c.SetSession(s)
 		n.settle()
-		if _, err := n.engine.AddConn(c); err != nil {
+		if err := n.add(c); err != nil {
 			done(nil, err)
 			return
 		}
--- a/internal/wire/sock/dial_test.go
+++ b/internal/wire/sock/dial_test.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/lesismal/nbio"
+	"go.uber.org/zap"
 )
 
 // A connect that this machine fails for a moment is tried again while there is time, and tells that it was this machine; what
@@ -40,3 +42,42 @@
 		t.Errorf("after its time: %v", err)
 	}
 }
+
+// announcer is a Handler that says when bytes have come.
+type announcer chan struct{}
+
+func (a announcer) Data([]byte) error { a <- struct{}{}; return nil }
+func (announcer) Closed(error)        {}
+
+// A connection that comes up as the engine has begun to stop is not taken: the engine would wait for it, or not, by chance.
+func TestDialAfterStop(t *testing.T) {
+	peer, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	n, err := Listen("", Limits{Descriptors: 64}, nil, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	dial := func(h Handler) error {
+		done := make(chan error)
+		n.Dial(peer.Addr().String(), time.Minute, h, func(_ Conn, err error) { done <- err })
+		return <-done
+	}
+	came := make(announcer)
+	if err := dial(came); err != nil {
+		t.Fatal(err)
+	}
+	first, err := peer.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	first.Write([]byte{1})
+	<-came // the poller runs: before that nbio would forget that it was stopped
+	n.Stop()
+	if err := dial(came); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("dialled after the end: %v", err)
+	}
+}
--- a/internal/wire/sock/sock.go
+++ b/internal/wire/sock/sock.go
@@ -74,6 +74,21 @@
 	writing       sync.Mutex // held while a write may close a descriptor
 	closedInWrite uint64     // descriptors closed by writes that failed
 	settled       atomic.Uint64
+
+	adding  sync.RWMutex // held while a dialled connection is added, and as the engine begins to stop
+	stopped bool
+}
+
+// add gives a dialled connection to the engine. One that is stopping takes none: it counts those that it has to wait for.
+func (n *Net) add(c *nbio.Conn) error {
+	n.adding.RLock()
+	defer n.adding.RUnlock()
+	if n.stopped {
+		c.Close()
+		return net.ErrClosed
+	}
+	_, err := n.engine.AddConn(c)
+	return err
 }
 
 // settle makes a new connection safe from the events of an old one that had its descriptor's number and was closed by a
@@ -186,5 +201,10 @@
 	return n.engine.Addrs[0]
 }
 
-// Stop closes the listener and every connection.
-func (n *Net) Stop() { n.engine.Stop() }
+// Stop closes the listener and every connection. What is dialled then ends with net.ErrClosed.
+func (n *Net) Stop() {
+	n.adding.Lock()
+	n.stopped = true
+	n.adding.Unlock()
+	n.engine.Stop()
+}
