Ask again for what fleet tests are told is undecided, and hold drains until three overlap

The gateway answered after 800 ms that it was not agreed and may still come, as its pages say; the test took that for a refusal. Nothing made three of seven drains overlap; on a busy machine they came one after the other, and the checker rightly found nothing.

Ruled out: an entry that was lost (the log of gw5 has no alarm, and the same call is agreed once a leader is there).

Change: asked makes a call again while the answer is that it is undecided, with the bound that all waits for events have; a call that is refused for any other reason fails the test as before. Without the budget each drain is held until three are out at once. Both are as strict as before: the call has to be agreed to, and the history without the limits has to be refused.

--- a/internal/fleettest/agreed_test.go
+++ b/internal/fleettest/agreed_test.go
@@ -24,10 +24,24 @@
 // nobodyOut is the line by which it says that nothing is out.
 func nobodyOut(*lab.Gateway) string { return "svc.fleet.agreed.out:0|g" }
 
-// asked makes an operators' call that has to succeed.
+// undecided is what a gateway answers as long as it can't tell whether a call was agreed to: the log may have no leader for a
+// moment. The entry may still come, so that an operator asks again.
+const undecided = "FAILURE it was not agreed in"
+
+// cameThrough is what a call that is made again is told if it had been agreed to the first time.
+var cameThrough = regexp.MustCompile(`^FAILURE .*(is declared already|one at a time|is there: it )`)
+
+// asked makes an operators' call that has to succeed, again for as long as it is undecided. A gateway has to say of each call
+// within a second what came of it.
 func asked(t *testing.T, g *lab.Gateway, call string) string {
 	t.Helper()
 	text, err := g.Ask(call)
+	if again := err == nil && strings.HasPrefix(text, undecided); again {
+		text, err = await(g, call, eventLimit, func(text string) bool { return !strings.HasPrefix(text, undecided) })
+		if err == nil && cameThrough.MatchString(text) {
+			return text
+		}
+	}
 	if err != nil || !strings.HasPrefix(text, "SUCCESS") {
 		t.Fatalf("%s: %s: %q, %v\n%s", g.Name, call, text, err, g.Process().Log())
 	}
--- a/internal/fleettest/history_test.go
+++ b/internal/fleettest/history_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,8 +46,9 @@
 	}
 }
 
-// drains has every gateway drained by an operator of its own, again and again, and returns the history.
-func drains(t *testing.T, without string, times int) (history []porcupine.Operation) {
+// drains has every gateway drained by an operator of its own, so many times, and returns the history. Each stays out until hold
+// returns.
+func drains(t *testing.T, without string, times int, hold func(rng *rand.Rand)) (history []porcupine.Operation) {
 	o := seven(two)
 	if without != "" {
 		o.Env = []string{"QUILLRAIL_TEST_GUARD=" + without}
@@ -71,7 +73,7 @@
 					return
 				}
 				out := time.Now()
-				<-time.After(time.Duration(rng.IntN(300)) * time.Millisecond)
+				hold(rng)
 				resumed := time.Now()
 				g.Ask("resume")
 				if err := returned(g); err != nil {
@@ -91,6 +93,24 @@
 	return history
 }
 
+// aWhile is up to 300 ms that are drawn.
+func aWhile(rng *rand.Rand) { <-time.After(time.Duration(rng.IntN(300)) * time.Millisecond) }
+
+// untilOut returns what holds each of its callers until so many of them are out at once, or until a limit.
+func untilOut(many int64) func(*rand.Rand) {
+	var out atomic.Int64
+	reached := make(chan struct{})
+	return func(*rand.Rand) {
+		if out.Add(1) == many {
+			close(reached)
+		}
+		select {
+		case <-reached:
+		case <-time.After(eventLimit):
+		}
+	}
+}
+
 // returned waits until a gateway's permit has ended.
 func returned(g *lab.Gateway) error {
 	text, err := await(g, "agreed", eventLimit, func(text string) bool { return !strings.Contains(text, "out: gateway "+g.Name+" ") })
@@ -101,20 +121,20 @@
 }
 
 // The history of drains that operators saw at seven gateways fits a set of at most two, in some order in which each took place
-// between its word and its answer. Without the limits it fits none.
+// between its word and its answer. Without the limits, where three go out before one comes back, it fits none.
 func TestAgreedChangeHistory(t *testing.T) {
 	beside(t)
 	times := 2
 	if os.Getenv("QUILLRAIL_FLEET_LONG") != "" {
 		times = 12
 	}
-	history := drains(t, "", times)
+	history := drains(t, "", times, aWhile)
 	ok := porcupine.CheckOperations(permits(2), history)
 	t.Logf("figures: gateways=7 operations=%d linearizable=%v", len(history), ok)
 	if !ok || len(history) < 14*times*8/10 {
 		t.Errorf("%d operations: %v", len(history), ok)
 	}
-	history = drains(t, "budget", 1)
+	history = drains(t, "budget", 1, untilOut(3))
 	if porcupine.CheckOperations(permits(2), history) {
 		t.Errorf("without the limits nothing is found in %d operations", len(history))
 	}
