Reproduce what a short read before a hang-up loses, as a known red test

Seen on reading the library's poller while looking for what short reads of the system may do: it stops reading at the first read that gives less than its buffer takes, and closes the connection in the same event if the peer has hung up. What stands behind the short read is lost: an answer of a worker that then counts as reset, or the last events of a list.

TestShortReads, which passes pieces of a few bytes through a relay, cannot show it: there nothing stands behind a piece.

--- a/internal/wire/sock/read_test.go
+++ b/internal/wire/sock/read_test.go
@@ -3,8 +3,10 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 )
 
 // counter counts what comes. Its first piece is held until release is closed, which stops the poller.
@@ -57,3 +59,49 @@
 		t.Errorf("%d of %d bytes were read before the end", got, size)
 	}
 }
+
+// A read may give less than there is: here at the mark of an urgent byte, and where a system call is cut short. What stands behind
+// it when the peer has hung up already is read all the same: it may be an answer.
+func TestShortReadBeforeAHangUp(t *testing.T) {
+	release, begun, closed := make(chan struct{}), make(chan struct{}), make(chan int, 1)
+	n, err := Listen("127.0.0.1:0", Limits{Descriptors: 64, Accepted: 64}, func(Conn) Handler { return nil }, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Stop()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	n.Dial(ln.Addr().String(), time.Second, &counter{release: release, begun: begun, closed: closed}, func(_ Conn, err error) {
+		if err != nil {
+			t.Error(err)
+		}
+	})
+	peer, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(text string, flags int) {
+		t.Helper()
+		raw, err := peer.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw.Control(func(fd uintptr) { err = unix.Sendto(int(fd), []byte(text), flags, nil) })
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("held", 0)
+	<-begun
+	write("before", 0)
+	write("!", unix.MSG_OOB)
+	write("behind", 0)
+	peer.Close()
+	close(release)
+	if got, want := <-closed, len("held"+"before"+"behind"); got != want {
+		t.Errorf("%d of %d bytes were read before the end", got, want)
+	}
+}
