Read what workers and lists wrote before they hung up, though a read comes short

Cause: nbio reads a connection until a read gives less than its buffer holds (poller_epoll.go, readWriteLoop, n < bufLen) and closes it in the same event if the peer has hung up. A read that is cut short, at the mark of an urgent byte or by the system, therefore loses all that stands behind it: answers count as reset, events of the list are asked for again.

Ruled out: reading the rest as the connection closes (Engine.OnClose). nbio calls that on a goroutine of its own after the descriptor has been closed; the race detector showed it at once.

Change: sock reads by itself (sock/read.go, Engine.OnRead): connections that this side has made are read until nothing more is there, those of clients as before, since a client that has hung up is owed nothing. One further read for each event of a dialled connection.

The wire's and core's tests passed twice with -race.

--- a/internal/wire/sock/sock.go
+++ b/internal/wire/sock/sock.go
@@ -42,14 +42,8 @@
 }
 
 const (
-	readBuffer  = 32 << 10
 	writeBuffer = 1 << 20 // most that is kept for a peer that does not read
-
-	// readsPerEvent is how many buffers nbio reads from a connection before it looks at whether the peer has hung up. What
-	// is unread then is lost, so it has to be more than the kernel holds for one connection (6 MB by default).
-	readsPerEvent = 256
-
-	leastFiles = 1024 // places of nbio's array of descriptors, which it otherwise takes 16 MB for
+	leastFiles  = 1024    // places of nbio's array of descriptors, which it otherwise takes 16 MB for
 )
 
 // Limits bound what an engine may hold.
@@ -70,6 +64,7 @@
 	engine *nbio.Engine
 	ln     *listener // nil where it only dials
 	reaper reaper
+	buffer []byte // of the poller's goroutine
 
 	writing       sync.Mutex // held while a write may close a descriptor
 	closedInWrite uint64     // descriptors closed by writes that failed
@@ -123,9 +118,8 @@
 	defer starting.Unlock()
 	setLogger.Do(func() { logging.SetLogger(quiet{sampled(log.Named("nbio")).Sugar()}) })
 	nbio.MaxOpenFiles = max(leastFiles, 2*limits.Descriptors)
-	conf := nbio.Config{Name: "quillrail", Network: "tcp", NPoller: 1, ReadBufferSize: readBuffer,
-		MaxWriteBufferSize: writeBuffer, MaxConnReadTimesPerEventLoop: readsPerEvent}
-	n := &Net{}
+	conf := nbio.Config{Name: "quillrail", Network: "tcp", NPoller: 1, MaxWriteBufferSize: writeBuffer}
+	n := &Net{buffer: make([]byte, readBuffer)}
 	n.reaper.writing = &n.writing
 	bell, err := n.reaper.open()
 	if err != nil {
@@ -154,15 +148,7 @@
 			s.took(n)
 		}
 	})
-	n.engine.OnData(func(c *nbio.Conn, b []byte) {
-		if s, ok := c.Session().(*session); ok {
-			h := s.get()
-			s.delivered.Add(1)
-			if err := h.Data(b); err != nil {
-				c.CloseWithError(err)
-			}
-		}
-	})
+	n.engine.OnRead(n.read)
 	n.engine.OnClose(func(c *nbio.Conn, err error) {
 		if s, ok := c.Session().(*session); ok {
 			s.get().Closed(err)
