--- a/internal/fleettest/syscalls_test.go
+++ b/internal/fleettest/syscalls_test.go
@@ -124,6 +124,21 @@
 	play.run(t)
 }
 
+// Reads of sockets give a few bytes at a time, of whatever is there: the rest follows, and every call is served.
+func TestShortReadsOfTheSystem(t *testing.T) {
+	play := faultPlay{numbers: []int{unix.SYS_READ}, allServed: true}
+	play.policy = func(*lab.Lab) sysfault.Policy {
+		rng := rand.New(rand.NewPCG(seed(), 22))
+		return func(c sysfault.Call) sysfault.Outcome {
+			if !onSocket(c) {
+				return sysfault.Outcome{}
+			}
+			return sysfault.Outcome{Most: 1 + rng.IntN(40)}
+		}
+	}
+	play.run(t)
+}
+
 // Reads, writes and waits that are interrupted are gone on with: every call is served.
 func TestInterruptedSystemCalls(t *testing.T) {
 	faultPlay{numbers: interruptible, policy: interrupted, allServed: true}.run(t)
@@ -202,8 +217,8 @@
 	}
 }
 
-// What passes between gateways, workers and lists comes in pieces of a few bytes, each way: reads come short, and nothing is
-// lost, misread or taken for silence.
+// What passes between gateways, workers and lists comes in pieces of a few bytes, each way: nothing is lost, misread or taken
+// for silence.
 func TestShortReads(t *testing.T) {
 	for _, piece := range []int{1, 7} {
 		t.Run(fmt.Sprint(piece), func(t *testing.T) {
--- a/internal/lab/sysfault/part.go
+++ b/internal/lab/sysfault/part.go
@@ -60,3 +60,24 @@
 	}
 	return 0, fmt.Errorf("sysfault: thread %d names no process", thread)
 }
+
+// readShort makes a read of at most so many bytes in place of the process, on the same open file, and returns how many it gave.
+func readShort(c Call, most int) (int, error) {
+	process, err := processOf(c.thread)
+	if err != nil {
+		return 0, err
+	}
+	file, err := borrow(process, int(c.Args[0]))
+	if err != nil {
+		return 0, err
+	}
+	defer unix.Close(file)
+	got := make([]byte, most)
+	length, err := unix.Read(file, got)
+	if err != nil || length <= 0 {
+		return 0, err
+	}
+	local := []unix.Iovec{{Base: &got[0], Len: uint64(length)}}
+	remote := []unix.RemoteIovec{{Base: uintptr(c.Args[1]), Len: length}}
+	return unix.ProcessVMWritev(process, local, remote, 0)
+}
--- a/internal/lab/sysfault/supervisor.go
+++ b/internal/lab/sysfault/supervisor.go
@@ -33,6 +33,7 @@
 type Outcome struct {
 	Errno unix.Errno // it returns this error at once
 	Half  bool       // a write, of which half is written
+	Most  int        // a read, which gives so many bytes at most; 0 for what it asks for
 }
 
 // Policy says what becomes of a call. A supervisor calls it for one system call at a time.
@@ -162,6 +163,11 @@
 			s.failed.Add(1)
 			r.value, r.flags = int64(written), 0
 		}
+	case outcome.Most > 0 && uint64(outcome.Most) < c.Args[2]:
+		if length, err := readShort(c, outcome.Most); err == nil && length > 0 {
+			s.failed.Add(1)
+			r.value, r.flags = int64(length), 0
+		}
 	}
 }
 
--- a/internal/wire/sock/reaper.go
+++ b/internal/wire/sock/reaper.go
@@ -28,6 +28,7 @@
 	rung    bool            // a wake-up is on its way
 	ended   bool            // the poller ends
 	ring    *os.File        // wakes the poller
+	checked func()          // a test's, called between the look into a socket and its end; else nil
 }
 
 // closing is a connection that is to be closed.
@@ -129,9 +130,13 @@
 func (r *reaper) shutdown(d closing) {
 	r.writing.Lock()
 	defer r.writing.Unlock()
-	if closed, _ := d.c.IsClosed(); !closed && !d.more() {
-		unix.Shutdown(d.c.Hash(), unix.SHUT_RDWR)
+	if closed, _ := d.c.IsClosed(); closed || d.more() {
+		return
+	}
+	if r.checked != nil {
+		r.checked()
 	}
+	unix.Shutdown(d.c.Hash(), unix.SHUT_RDWR)
 }
 
 func release(waiting []chan struct{}) {
