Take nothing from a connection that this side has shut

Lines at fault: sock/reaper.go, shutdown: between TIOCINQ and shutdown(2) a request may come; Linux still gives it out after SHUT_RDWR, and the poller's next event handed it to the front, which took it and sent it on.

Ruled out: the turn taking it after a decision to close (closing.more sees what was delivered and what is in the socket); the library's own close (it reads before it closes, but only what came before).

Change: the poller notes that it has shut a connection before it does so (session.shut), and what comes from then on is read and dropped. Unread, it would have the kernel reset the connection and take a last answer back. A read that fails for want of memory or buffers is also tried again now and ends no connection.

--- a/internal/wire/sock/conn.go
+++ b/internal/wire/sock/conn.go
@@ -18,6 +18,7 @@
 	asked     atomic.Bool  // somebody waits for unsent to become 0
 	delivered atomic.Int64 // calls of Data
 	accepted  bool         // not dialled
+	shut      bool         // this side has ended the connection; of the poller's goroutine
 }
 
 // took counts down what the kernel has taken. It runs under nbio's lock on the connection, so the Flusher, which may have to
@@ -39,13 +40,13 @@
 
 // Close has the connection closed soon, on the poller's goroutine; what was written before still goes out.
 func (c *conn) Close() error {
-	c.n.reaper.close(closing{c: c.Conn})
+	c.n.reaper.close(closing{c: c.Conn, s: c.s})
 	return nil
 }
 
 // CloseUnlessMore asks the poller's goroutine, which alone knows what it has delivered and what is still in the socket.
 func (c *conn) CloseUnlessMore(taken int) {
-	c.n.reaper.close(closing{c: c.Conn, s: c.s, taken: int64(taken)})
+	c.n.reaper.close(closing{c: c.Conn, s: c.s, unless: true, taken: int64(taken)})
 }
 
 // Write has nbio write. A write that fails closes the descriptor here and not on the poller's goroutine, so that it is noted
--- a/internal/wire/sock/read.go
+++ b/internal/wire/sock/read.go
@@ -5,6 +5,8 @@
 
 	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
+
+	"quillrail/internal/transient"
 )
 
 const (
@@ -20,11 +22,15 @@
 // by the system, with an answer behind it. A client that has hung up is owed nothing, so that its connection is spared the further read.
 func (n *Net) read(c *nbio.Conn) {
 	s, ok := c.Session().(*session)
-	for reads := 0; ok && reads < readsPerEvent; reads++ {
+	if !ok {
+		return
+	}
+	h := s.get()
+	for range readsPerEvent {
 		length, err := c.Read(n.buffer)
 		switch {
 		case length > 0:
-			if err := s.deliver(n.buffer[:length]); err != nil {
+			if err := s.deliver(h, n.buffer[:length]); err != nil {
 				c.CloseWithError(err)
 				return
 			}
@@ -32,7 +38,7 @@
 				return
 			}
 		case errors.Is(err, unix.EINTR):
-		case err != nil && !errors.Is(err, unix.EAGAIN):
+		case err != nil && !transient.Is(err):
 			c.CloseWithError(err)
 			return
 		default: // nothing more now, or for good: nbio sees the end by itself
@@ -41,9 +47,12 @@
 	}
 }
 
-// deliver hands what was read to the handler.
-func (s *session) deliver(b []byte) error {
-	h := s.get()
+// deliver hands what was read to the connection's handler. What comes once this side has ended the connection is read and dropped: an
+// answer could reach nobody, and unread bytes would have the kernel take back what was written before.
+func (s *session) deliver(h Handler, b []byte) error {
+	if s.shut {
+		return nil
+	}
 	s.delivered.Add(1)
 	return h.Data(b)
 }
--- a/internal/wire/sock/reaper.go
+++ b/internal/wire/sock/reaper.go
@@ -33,9 +33,10 @@
 
 // closing is a connection that is to be closed.
 type closing struct {
-	c     *nbio.Conn
-	s     *session // not nil: unless more has come than
-	taken int64    // so many calls of Data
+	c      *nbio.Conn
+	s      *session
+	unless bool  // unless more has come than
+	taken  int64 // so many calls of Data
 }
 
 // open returns the connection that the poller hears the ring by.
@@ -136,6 +137,7 @@
 	if r.checked != nil {
 		r.checked()
 	}
+	d.s.shut = true // before the call: what has come since the look is still given out after it, and is not to be taken
 	unix.Shutdown(d.c.Hash(), unix.SHUT_RDWR)
 }
 
@@ -147,7 +149,7 @@
 
 // more reports whether a connection that was to be closed only if nothing has come has had more.
 func (d closing) more() bool {
-	if d.s == nil {
+	if !d.unless {
 		return false
 	}
 	waiting, err := unix.IoctlGetInt(d.c.Hash(), unix.TIOCINQ)
