Reproduce the lower incarnation of a gateway after a clock is stepped back, as a known red test

Found on reading where the program asks the wall clock: an incarnation is counted on from the disk, or taken from the clock where the disk is empty (member.Next).

Two things stood in its way: the node read the machine's clock past the one that is injected (fleet/node.go), and a test process that began after a step read it only 10 ms later.

--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -75,8 +75,9 @@
 // Start reads the disk and joins the others.
 func (n *Node) Start() {
 	n.since = n.loop.Now()
+	clock := n.since
 	go func() {
-		r := readState(n.settings.Dir, time.Duration(time.Now().UnixNano()))
+		r := readState(n.settings.Dir, clock)
 		n.loop.Post(func() { n.read(r) })
 	}()
 	n.tick()
--- a/internal/fleettest/clock_test.go
+++ b/internal/fleettest/clock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -43,3 +44,53 @@
 		})
 	}
 }
+
+// The wall clock of the machine is stepped back by an hour, and a gateway of a fleet is killed and loses its disk. It starts anew with
+// nothing but that clock to tell its incarnation by, which is lower than the one that the others have heard of: they would heed
+// nothing that it says. They tell it so, and it goes on under a later one: it is counted, and an operator's word at it reaches them.
+func TestIncarnationAfterASteppedClock(t *testing.T) {
+	beside(t)
+	l := start(t, lab.Options{Workers: 5, Halls: 2, Fleet: true, ClockFile: filepath.Join(t.TempDir(), "clock")})
+	tr := l.Start(mixed)
+	until(t, l.Gateways, func(*lab.Gateway) string { return knows(3) })
+	served(t, tr, 100)
+	if err := l.StepClocks(-time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	restarted, others := l.Gateways[1], []*lab.Gateway{l.Gateways[0], l.Gateways[2]}
+	earlier := incarnationServing(t, others[0], restarted.Name, 0)
+	restarted.Kill()
+	if err := restarted.Disk("empty"); err != nil {
+		t.Fatal(err)
+	}
+	if err := restarted.Start(); err != nil {
+		t.Fatal(err)
+	}
+	for _, g := range others {
+		incarnationServing(t, g, restarted.Name, earlier)
+	}
+	w := l.Workers[0]
+	if text, err := restarted.Ask("disable-server " + w.Name()); err != nil || !strings.HasPrefix(text, "SUCCESS") {
+		t.Fatalf("disable-server: %q, %v", text, err)
+	}
+	until(t, l.Gateways, func(*lab.Gateway) string { return "svc.pool_ejected:1|g" })
+	w.Banned()
+	served(t, tr, 300)
+	if n := verdict(t, l, tr); n.Unanswered+n.Unreached > 0 {
+		t.Errorf("calls were lost: %+v\n%q", n, tr.Faults())
+	}
+}
+
+// incarnationServing waits until a gateway says that another one serves under an incarnation later than one, and returns it.
+func incarnationServing(t *testing.T, g *lab.Gateway, name string, later float64) float64 {
+	t.Helper()
+	for {
+		line, err := g.Process().Await("another gateway", eventLimit)
+		if err != nil {
+			t.Fatalf("%s does not hear of a later incarnation of %s: %v", g.Name, name, err)
+		}
+		if n, _ := line["incarnation"].(float64); line["gateway"] == name && line["state"] == "serving" && n > later {
+			return n
+		}
+	}
+}
--- a/internal/fleettest/version_test.go
+++ b/internal/fleettest/version_test.go
@@ -32,12 +32,16 @@
 // stepped reads the system's clocks with the wall clock as far off as a file says, which is read every few ms.
 func stepped(file string) func() core.Reading {
 	var step atomic.Int64
+	read := func() {
+		if text, err := os.ReadFile(file); err == nil {
+			n, _ := strconv.ParseInt(string(text), 10, 64)
+			step.Store(n)
+		}
+	}
+	read() // a process that starts after a step has no other clock
 	go func() {
 		for range time.Tick(10 * time.Millisecond) {
-			if text, err := os.ReadFile(file); err == nil {
-				n, _ := strconv.ParseInt(string(text), 10, 64)
-				step.Store(n)
-			}
+			read()
 		}
 	}()
 	return func() core.Reading {
