Have a gateway that took too low an incarnation go on under a later one

Lines at fault: fleet/disk.go, readState: without a disk the number comes from the wall clock alone, and what others have heard (the second argument of member.Next) was never asked; fleet/receiver.go, deliverFrom and View.Observe: what comes of a lower number is dropped, and nobody says so to the process.

Ruled out: heeding the lower number once the higher one has gone (permits and entries of an agreement are told apart by it, so that it has to grow), and ordering incarnations by when they were heard (a process that stood still would count as the later one).

Change: who hears of a process whose number counts as an earlier one tells it (fleet/renumber.go), and it goes on under one later still, unless a later process of its name is known to be there: the number is written to disk, its links begin anew, and all are told. One message from each that has heard, only in that case.

--- a/internal/fleet/disk.go
+++ b/internal/fleet/disk.go
@@ -33,12 +33,23 @@
 	}
 	r.life = member.Next(stored, 0, clock, rand.Uint64())
 	if r.db != nil {
-		n := r.life.N
-		r.db.Put(keyLife, func() ([]byte, error) { return msgpack.Marshal(n) })
+		putLife(r.db, r.life.N)
 	}
 	return r
 }
 
+// putLife has the number of the process's life written.
+func putLife(db *store.Store, number uint64) {
+	db.Put(keyLife, func() ([]byte, error) { return msgpack.Marshal(number) })
+}
+
+// saveLife has the node's life written, if there is a disk.
+func (n *Node) saveLife() {
+	if n.db != nil {
+		putLife(n.db, n.life.N)
+	}
+}
+
 // save has the store write what the parts know now.
 func (n *Node) save() {
 	if n.db == nil {
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -104,6 +104,21 @@
 	return true
 }
 
+// Renumber changes the number of this gateway's life. Open connections end, since they were begun under the former one: the next
+// message to each gateway begins another.
+func (n *Net) Renumber(life uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.self.Life = life
+	for _, w := range n.out {
+		if w.over = true; w.conn != nil {
+			w.conn.Close()
+		}
+		close(w.wake)
+	}
+	clear(n.out)
+}
+
 // Stats returns what has been sent.
 func (n *Net) Stats() Stats {
 	n.mu.Lock()
--- a/internal/fleet/link/way.go
+++ b/internal/fleet/link/way.go
@@ -17,6 +17,7 @@
 	queue []Message
 	bytes int
 	wake  chan struct{}
+	over  bool // this gateway goes by another incarnation now
 	conn  net.Conn
 }
 
@@ -31,9 +32,9 @@
 		var batch []Message
 		w.n.mu.Lock()
 		batch, w.queue, w.bytes = w.queue, nil, 0
-		closed := w.n.closed
+		ended := w.n.closed || w.over
 		w.n.mu.Unlock()
-		if closed {
+		if ended {
 			break
 		}
 		if len(batch) > 0 {
@@ -68,12 +69,12 @@
 func (w *way) begin(c net.Conn) error {
 	w.n.mu.Lock()
 	w.conn = c
-	closed := w.n.closed
+	closed, self := w.n.closed, w.n.self
 	w.n.mu.Unlock()
 	if closed {
 		return net.ErrClosed
 	}
-	b, err := msgpack.Marshal(w.n.self)
+	b, err := msgpack.Marshal(self)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -129,6 +129,16 @@
 // Self is the process's own card.
 func (v *View) Self() Metadata { return v.self }
 
+// Renumber gives the process a later incarnation. It reports whether it may have one: it is later than its own, and no later process
+// of its name is known to be there.
+func (v *View) Renumber(life Incarnation) bool {
+	if v.over || life.Compare(v.self.Life) <= 0 {
+		return false
+	}
+	v.self.Life = life
+	return true
+}
+
 // Become changes the process's own state.
 func (v *View) Become(s State) { v.self.State = s }
 
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -37,6 +37,22 @@
 	})
 }
 
+// A process that was taken for an earlier one goes on under a later number, but not under a lower one, nor while a later process of
+// its name is there.
+func TestRenumber(t *testing.T) {
+	v := NewView(card("me", 5, 5), 0)
+	if v.Renumber(Incarnation{4, 5}) || v.Renumber(Incarnation{5, 5}) || v.Self().Life.N != 5 {
+		t.Errorf("it goes on under %v", v.Self().Life)
+	}
+	if !v.Renumber(Incarnation{9, 5}) || v.Self().Life.N != 9 {
+		t.Errorf("it does not go on under a later number: %v", v.Self().Life)
+	}
+	v.Observe(Event{card("me", 12, 6), Serving})
+	if v.Renumber(Incarnation{20, 5}) || v.May() {
+		t.Error("it goes on although a later process is there")
+	}
+}
+
 // The view against a reference: of each name the latest life, and of that the last word.
 func TestViewAgainstReference(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/fleet/member/transport.go
+++ b/internal/fleet/member/transport.go
@@ -190,6 +190,9 @@
 	go t.list.UpdateNode(leaveLimit)
 }
 
+// Renumber has the links to the others begin anew under another number of this process's life.
+func (t *Transport) Renumber(life uint64) { t.links.Renumber(life) }
+
 // Broadcast passes a message on to all, without waiting. It reports whether there was room.
 func (t *Transport) Broadcast(what []byte) bool {
 	if len(what) > maxBroadcast || t.queue.NumQueued() >= maxWaiting {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -55,7 +55,9 @@
 
 // New returns a node that has not started. name and hall are the gateway's.
 func New(loop *core.Loop, set *Settings, name string, hall int, log *zap.Logger) *Node {
-	return &Node{loop: loop, settings: set, name: name, hall: hall, log: log, boot: bootOf(set.BootID)}
+	n := &Node{loop: loop, settings: set, name: name, hall: hall, log: log, boot: bootOf(set.BootID)}
+	n.parts = []Part{&renumbering{n: n}}
+	return n
 }
 
 // Add adds a part, before Start. The parts are served in the order in which they were added.
