--- a/internal/fleettest/syscalls_test.go
+++ b/internal/fleettest/syscalls_test.go
@@ -66,7 +66,8 @@
 	}{
 		"accept": {[]int{unix.SYS_ACCEPT4},
 			func(*lab.Lab) sysfault.Policy {
-				return failing(0.5, nil, unix.ECONNABORTED, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM, unix.EINTR)
+				return failing(0.5, nil, unix.ECONNABORTED, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM, unix.EINTR, unix.ENETUNREACH,
+					unix.EHOSTUNREACH, unix.EPROTO, unix.EPERM)
 			}},
 		"socket": {[]int{unix.SYS_SOCKET},
 			func(*lab.Lab) sysfault.Policy {
@@ -80,6 +81,8 @@
 			func(*lab.Lab) sysfault.Policy {
 				return failing(0.6, onSocket, unix.ETIMEDOUT, unix.EHOSTUNREACH, unix.ECONNREFUSED)
 			}},
+		"read": {[]int{unix.SYS_READ},
+			func(*lab.Lab) sysfault.Policy { return failing(0.05, onSocket, unix.ENOMEM, unix.ENOBUFS, unix.EAGAIN) }},
 		"dup": {[]int{unix.SYS_DUP},
 			func(*lab.Lab) sysfault.Policy { return failing(0.5, nil, unix.EMFILE, unix.ENFILE) }},
 		"all in turns": {[]int{unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT}, allInTurns},
