--- a/internal/fleet/admit.go
+++ b/internal/fleet/admit.go
@@ -87,7 +87,7 @@
 	}
 	served := r.Answer == "served"
 	c.admit.Ended(r.Call.Function, served)
-	if served && len(c.found) < 4*tellMost && !slices.Contains(c.found, r.Call.Function) {
-		c.found = append(c.found, r.Call.Function)
+	if served && len(c.foundCopies) < 4*foundCopiesMost && !slices.Contains(c.foundCopies, r.Call.Function) {
+		c.foundCopies = append(c.foundCopies, r.Call.Function)
 	}
 }
--- a/internal/fleet/agreement/agent.go
+++ b/internal/fleet/agreement/agent.go
@@ -85,21 +85,21 @@
 	begun    time.Duration
 	stopped  bool
 
-	seq     uint64
-	open    map[uint64]*proposal
-	follows map[string]*follower
-	recent  recent
-	sight   observations
-	lead    leader
-	held    holder
-	hashAt  uint64 // the entry that
-	hashed  uint64 // is the state's hash at
-	alarms  int
-	alarmed time.Duration
-	ticks   int
-	off     time.Duration // this clock from the leader's, as far as is known
-	offAt   time.Duration
-	spanned time.Duration
+	seq      uint64
+	open     map[uint64]*proposal
+	follows  map[string]*follower
+	recent   recent
+	observed observations
+	lead     leader
+	held     holder
+	hashAt   uint64 // the entry that
+	hashed   uint64 // is the state's hash at
+	alarms   int
+	alarmed  time.Duration
+	ticks    int
+	off      time.Duration // this clock from the leader's, as far as is known
+	offAt    time.Duration
+	spanned  time.Duration
 }
 
 // New returns the part.
@@ -107,7 +107,7 @@
 	a := &Agent{host: h, gw: gw, o: o, log: h.Log().Named("agreed"), lives: map[string]incarnations{}, open: map[uint64]*proposal{}, follows: map[string]*follower{},
 		known: map[string]answer{}}
 	a.copy = replog.NewFollower(nil, a.applied)
-	a.sight = newSight()
+	a.observed = newObservations()
 	a.lead = newLead()
 	return a
 }
--- a/internal/fleet/agreement/observations.go
+++ b/internal/fleet/agreement/observations.go
@@ -20,11 +20,11 @@
 	at       time.Duration
 }
 
-func newSight() observations {
+func newObservations() observations {
 	return observations{members: map[string]core.Member{}, answered: map[string]time.Duration{}}
 }
 
-func (s *observations) told(whole bool, members []core.Member) {
+func (s *observations) updateMembers(whole bool, members []core.Member) {
 	if whole {
 		clear(s.members)
 	}
--- a/internal/fleet/agreement/report.go
+++ b/internal/fleet/agreement/report.go
@@ -62,7 +62,7 @@
 
 // report tells the one that leads what this gateway sees.
 func (a *Agent) report(now time.Duration) {
-	a.sight.measure(now)
+	a.observed.measure(now)
 	r := a.seen(now)
 	if a.group != nil && a.group.Leads() {
 		a.lead.take(a, r)
@@ -105,7 +105,7 @@
 func (a *Agent) seen(now time.Duration) Report {
 	st := a.State()
 	r := Report{Name: a.o.Name, Life: a.host.Life().N, ID: a.id, Hall: a.o.Hall, Serving: a.gw.Serving(), Warm: a.gw.Warm(), Version: a.o.Version,
-		Config: a.o.Config, Level: replog.Level, Load: a.sight.load, Classes: append([]change.Tally(nil), a.sight.tallies...), Uses: append([]float64(nil), a.sight.use...)}
+		Config: a.o.Config, Level: replog.Level, Load: a.observed.load, Classes: append([]change.Tally(nil), a.observed.tallies...), Uses: append([]float64(nil), a.observed.use...)}
 	if st == nil {
 		return r
 	}
@@ -118,10 +118,10 @@
 		}
 	}
 	halls, dark := map[string]bool{}, map[string]bool{}
-	for name, m := range a.sight.members {
+	for name, m := range a.observed.members {
 		t := change.Of(change.Worker, name)
 		w := a.worker(name, m, now)
-		if at, ok := a.sight.answered[name]; ok && now-at < a.o.Lost {
+		if at, ok := a.observed.answered[name]; ok && now-at < a.o.Lost {
 			halls[w.Hall] = true
 		} else if ready(m) && a.gw.Avoids(name) {
 			dark[w.Hall] = true
@@ -131,7 +131,7 @@
 		}
 	}
 	for t, k := range st.Change.Things {
-		if _, listed := a.sight.members[t.Name()]; t.Kind() == change.Worker && !listed && k.Health != change.Out {
+		if _, listed := a.observed.members[t.Name()]; t.Kind() == change.Worker && !listed && k.Health != change.Out {
 			r.Workers = append(r.Workers, WorkerSeen{ID: t.Name(), Hall: k.Hall, Start: k.Life, ByList: true})
 		}
 	}
@@ -158,7 +158,7 @@
 // has begun anew, once it has answered since.
 func (a *Agent) worker(name string, m core.Member, now time.Duration) WorkerSeen {
 	w := WorkerSeen{ID: name, Hall: a.hallName(m.Zone), Start: uint64(max(0, m.Since.Milliseconds())), Health: change.Well}
-	at, answered := a.sight.answered[name]
+	at, answered := a.observed.answered[name]
 	switch {
 	case m.State != decide.Ready || a.held.banned[name]:
 		w.Health, w.ByList = change.Out, true
@@ -167,8 +167,8 @@
 	case m.Since > 0 && now-m.Since < a.o.ColdFor:
 		w.Health = change.Cold
 	case m.Since > 0 && (!answered || at < m.Since):
-		w.Health = change.Cold                                             // nothing has been seen of it yet
-		a.gw.Probe(name, func() { a.sight.answered[name] = a.host.Now() }) // nobody may have a call for it
+		w.Health = change.Cold                                                // nothing has been seen of it yet
+		a.gw.Probe(name, func() { a.observed.answered[name] = a.host.Now() }) // nobody may have a call for it
 	}
 	return w
 }
--- a/internal/fleet/agreement/shown.go
+++ b/internal/fleet/agreement/shown.go
@@ -93,13 +93,13 @@
 }
 
 // Told notes a change of the list of workers, and Observe the end of a call.
-func (a *Agent) Told(whole bool, members []core.Member) { a.sight.told(whole, members) }
+func (a *Agent) Told(whole bool, members []core.Member) { a.observed.updateMembers(whole, members) }
 
 // Observe takes the record of a request that has ended.
-func (a *Agent) Observe(r core.Record) { a.sight.observe(a, r) }
+func (a *Agent) Observe(r core.Record) { a.observed.observe(a, r) }
 
 // Count notes a call that was answered before the core had it.
-func (a *Agent) Count(class int, answer string) { a.sight.count(a, class, answer) }
+func (a *Agent) Count(class int, answer string) { a.observed.count(a, class, answer) }
 
 // hallName is a hall by its number in the settings.
 func (a *Agent) hallName(zone int) string {
--- a/internal/fleet/agreement/sites.go
+++ b/internal/fleet/agreement/sites.go
@@ -39,7 +39,7 @@
 	if !safeguard.Enabled("session epoch") { // each moves sessions by what it sees itself
 		own := *agreed
 		own.Down = slices.DeleteFunc(slices.Clone(a.o.Halls), func(h string) bool {
-			for name, m := range a.sight.members {
+			for name, m := range a.observed.members {
 				if ready(m) && a.hallName(m.Zone) == h && !a.gw.Avoids(name) {
 					return true
 				}
@@ -86,7 +86,7 @@
 
 // ZoneOf is the number of the hall that a worker is listed in, -1 for none.
 func (a *Agent) ZoneOf(worker string) int {
-	if m, ok := a.sight.members[worker]; ok {
+	if m, ok := a.observed.members[worker]; ok {
 		return m.Zone
 	}
 	return -1
@@ -94,7 +94,7 @@
 
 // serves reports whether a worker that is not left out is listed in one of the zones.
 func (a *Agent) serves(zones []int) bool {
-	for name, m := range a.sight.members {
+	for name, m := range a.observed.members {
 		if ready(m) && slices.Contains(zones, m.Zone) && !a.held.banned[name] {
 			return true
 		}
--- a/internal/fleet/recovery.go
+++ b/internal/fleet/recovery.go
@@ -42,12 +42,12 @@
 	serves bool // from before its start
 	begun  bool // the gateway has been given what it begins with
 
-	members map[string]core.Member // the list, for what is saved
-	held    map[string]uint64
-	found   []string // functions found, still to be told
-	stands  []Stand  // copies found, as of the last save
-	told    time.Duration
-	late    int // functions and workers that were not told for want of room
+	members     map[string]core.Member // the list, for what is saved
+	held        map[string]uint64
+	foundCopies []string // functions found, still to be broadcast
+	stands      []Stand  // copies found, as of the last save
+	told        time.Duration
+	late        int // functions and workers that were not told for want of room
 }
 
 // NewRecovery returns the part. rank is the worth of each class; left are bans that the gateway knows from elsewhere, and
@@ -182,7 +182,7 @@
 	}
 	if now-c.told >= tellEvery {
 		c.told = now
-		c.tellFound()
+		c.broadcastFoundCopies()
 	}
 }
 
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	tellEvery = 50 * time.Millisecond // copies that were found are told so often
-	tellMost  = 40                    // in one piece of news
+	tellEvery       = 50 * time.Millisecond // copies that were found are told so often
+	foundCopiesMost = 40                    // in one piece of news
 )
 
 // report is what is told unasked.
@@ -27,7 +27,7 @@
 
 // Check reports what no finding can hold.
 func (x *report) Check() error {
-	if len(x.Stands) > tellMost {
+	if len(x.Stands) > foundCopiesMost {
 		return fmt.Errorf("fleet: news of %d functions", len(x.Stands))
 	}
 	return x.Marks.Check()
@@ -98,20 +98,20 @@
 	c.hold()
 }
 
-// tellFound passes on what was found while the fleet comes back, so that each function is loaded once for all.
-func (c *Recovery) tellFound() {
-	if len(c.found) == 0 || !c.host.May() {
+// broadcastFoundCopies passes on what was found while the fleet comes back, so that each function is loaded once for all.
+func (c *Recovery) broadcastFoundCopies() {
+	if len(c.foundCopies) == 0 || !c.host.May() {
 		return
 	}
-	k := min(tellMost, len(c.found))
-	if b, err := msgpack.Marshal(&report{Stands: c.found[:k]}); err != nil || !c.host.Broadcast(b) {
+	k := min(foundCopiesMost, len(c.foundCopies))
+	if b, err := msgpack.Marshal(&report{Stands: c.foundCopies[:k]}); err != nil || !c.host.Broadcast(b) {
 		c.late++
 	}
-	c.found = append([]string(nil), c.found[k:]...)
+	c.foundCopies = append([]string(nil), c.foundCopies[k:]...)
 }
 
-// Said passes on an operators' word that was spoken here.
-func (c *Recovery) Said(id string, banned bool, since time.Duration) {
+// BroadcastBan passes on that an operator has left a worker out here, or uses it again.
+func (c *Recovery) BroadcastBan(id string, banned bool, since time.Duration) {
 	if k, known := c.marks[id]; known && k.Banned == banned {
 		return
 	}
--- a/internal/fleettest/cut_test.go
+++ b/internal/fleettest/cut_test.go
@@ -23,21 +23,30 @@
 var errLate = errors.New("not in time")
 
 // await makes an operators' call again and again until the answer is as it is to be, at most for limit. It returns the last one.
-func await(g *lab.Gateway, call string, limit time.Duration, ok func(text string) bool) (string, error) {
+func await(g *lab.Gateway, call string, limit time.Duration, ok func(text string) bool) (text string, err error) {
+	late := waitFor(limit, func() bool {
+		text, err = g.Ask(call)
+		return err == nil && ok(text)
+	})
+	if late != nil {
+		return text, errors.Join(late, err)
+	}
+	return text, nil
+}
+
+// waitFor looks again and again until something has happened, and returns errLate if it has not within limit.
+func waitFor(limit time.Duration, happened func() bool) error {
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
 	late := time.After(limit)
-	for {
-		text, err := g.Ask(call)
-		if err == nil && ok(text) {
-			return text, nil
-		}
+	for !happened() {
 		select {
 		case <-tick.C:
 		case <-late:
-			return text, errors.Join(errLate, err)
+			return errLate
 		}
 	}
+	return nil
 }
 
 // knows is the line by which a gateway says how many it knows of.
--- a/internal/fleettest/freeze_test.go
+++ b/internal/fleettest/freeze_test.go
@@ -111,17 +111,17 @@
 		}
 	}
 	for g, x := range last {
-		for late := time.After(eventLimit); without == ""; {
-			if _, ok := x.At(); ok {
-				f.taken++
-				break
-			}
-			select {
-			case <-late:
-				t.Fatalf("%s has not taken %s\n%s", g.Name, x.Revision, g.Process().Log())
-			case <-time.After(20 * time.Millisecond):
-			}
+		if without != "" {
+			continue
+		}
+		taken := func() bool {
+			_, ok := x.At()
+			return ok
+		}
+		if err := waitFor(eventLimit, taken); err != nil {
+			t.Fatalf("%s has not taken %s: %v\n%s", g.Name, x.Revision, err, g.Process().Log())
 		}
+		f.taken++
 	}
 	n := verdict(t, l, tr)
 	t.Logf("figures: gateways=7 guard_out=%q given=%d frozen_changes=%d taken_afterwards=%d unanswered=%d twice=%d", without, f.given, f.inside, f.taken, n.Unanswered,
--- a/internal/fleettest/handover_test.go
+++ b/internal/fleettest/handover_test.go
@@ -4,7 +4,6 @@
 	"os"
 	"path/filepath"
 	"testing"
-	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -15,18 +14,12 @@
 // appears waits until a file is there, with a bound.
 func appears(t *testing.T, path string) {
 	t.Helper()
-	tick := time.NewTicker(20 * time.Millisecond)
-	defer tick.Stop()
-	late := time.After(eventLimit)
-	for {
-		if _, err := os.Lstat(path); err == nil {
-			return
-		}
-		select {
-		case <-tick.C:
-		case <-late:
-			t.Fatalf("%s does not come", path)
-		}
+	there := func() bool {
+		_, err := os.Lstat(path)
+		return err == nil
+	}
+	if err := waitFor(eventLimit, there); err != nil {
+		t.Fatalf("%s: %v", path, err)
 	}
 }
 
--- a/internal/lifecycle/agreed.go
+++ b/internal/lifecycle/agreed.go
@@ -101,13 +101,13 @@
 	if d.core != nil {
 		d.core.Adopt(roster.Ban{ID: id, Since: d.core.Since(id)})
 		ban, banned := d.core.Banned(id)
-		d.recovery.Said(id, banned, ban.Since)
+		d.recovery.BroadcastBan(id, banned, ban.Since)
 	}
 }
 
 func (d *deeds) CallBack(id string) {
 	if d.core != nil && d.core.Enable(id) == nil {
-		d.recovery.Said(id, false, 0)
+		d.recovery.BroadcastBan(id, false, 0)
 	}
 }
 
--- a/internal/lifecycle/operator.go
+++ b/internal/lifecycle/operator.go
@@ -169,7 +169,7 @@
 	}
 	if err == nil && d.node != nil {
 		ban, banned := d.core.Banned(id)
-		d.recovery.Said(id, banned, ban.Since)
+		d.recovery.BroadcastBan(id, banned, ban.Since)
 	}
 	return err
 }
--- a/internal/transient/transient.go
+++ b/internal/transient/transient.go
@@ -23,10 +23,17 @@
 // Retry calls try until it succeeds or fails for good, and returns its last error. What passes by itself is tried again for as
 // long as limit, with the calling goroutine blocked.
 func Retry(limit time.Duration, try func() error) error {
-	for end := time.Now().Add(limit); ; time.Sleep(pause) {
-		err := try()
-		if err == nil || !Is(err) || !time.Now().Before(end) {
+	return RetryWhile(limit, Is, func(time.Duration) error { return try() })
+}
+
+// RetryWhile is Retry for errors that passes names, and with try told how much of the limit is left, at least 0.
+func RetryWhile(limit time.Duration, passes func(error) bool, try func(left time.Duration) error) error {
+	end := time.Now().Add(limit)
+	for {
+		err := try(max(0, time.Until(end)))
+		if err == nil || !passes(err) || time.Until(end) < pause {
 			return err
 		}
+		time.Sleep(pause)
 	}
 }
--- a/internal/wire/sock/dial.go
+++ b/internal/wire/sock/dial.go
@@ -12,10 +12,8 @@
 	"quillrail/internal/transient"
 )
 
-const (
-	dialAgain = 20 * time.Millisecond // pause after a fault of this machine
-	dialSpare = 10 * time.Millisecond // before its time is over a connect gives up, so that its reason is told
-)
+// dialSpare is how long before its time is over a connect gives up, so that its reason is told.
+const dialSpare = 10 * time.Millisecond
 
 // localFaults are errors of a connect that say nothing of the peer, besides those that pass by themselves: this machine has no port
 // or no way out for a moment.
@@ -54,13 +52,12 @@
 type connector func(addr string, timeout time.Duration) (*nbio.Conn, error)
 
 // dial connects within a time, however often this machine fails meanwhile.
-func dial(addr string, timeout time.Duration, connect connector) (*nbio.Conn, error) {
-	for end := time.Now().Add(timeout - dialSpare); ; time.Sleep(dialAgain) {
-		c, err := connect(addr, max(dialSpare, time.Until(end)))
-		if err == nil || !LocalFault(err) || time.Until(end) < dialAgain {
-			return c, err
-		}
-	}
+func dial(addr string, timeout time.Duration, connect connector) (c *nbio.Conn, err error) {
+	err = transient.RetryWhile(timeout-dialSpare, LocalFault, func(left time.Duration) (err error) {
+		c, err = connect(addr, max(dialSpare, left))
+		return err
+	})
+	return c, err
 }
 
 // connect is the connector of the system's sockets.
--- a/internal/wire/sock/dial_test.go
+++ b/internal/wire/sock/dial_test.go
@@ -37,7 +37,7 @@
 			t.Errorf("%v: %d tries, %v", c.errors, tries, err)
 		}
 	}
-	_, err := dial("", 2*dialAgain, func(string, time.Duration) (*nbio.Conn, error) { return nil, syscall.EMFILE })
+	_, err := dial("", 4*dialSpare, func(string, time.Duration) (*nbio.Conn, error) { return nil, syscall.EMFILE })
 	if !LocalFault(err) {
 		t.Errorf("after its time: %v", err)
 	}
