Play workers that take calls for as long as a longer grace while they drain, as a known red test

A served call is taken for proof that its worker did not begin to drain more than 2 s before (decide/health.go, drainAccepts). Workers that drain take what gateways may still send them, and that is as long as the grace, which the settings give; at the deployments so far it is 2 s and less.

--- a/decide/lease_model_test.go
+++ b/decide/lease_model_test.go
@@ -50,9 +50,10 @@
 	}
 }
 
-// accepts is how long a worker goes on taking calls while it drains.
+// accepts is how long a worker goes on taking calls while it drains: no longer than gateways may send it some, and 2 s where that is
+// less.
 func (p *drainPlay) accepts(host string) time.Duration {
-	return time.Duration(len(host)+int(host[1])%3) * sec / 2
+	return max(2*sec, p.r.set.DrainGrace) * time.Duration(len(host)+int(host[1])%3) / 4
 }
 
 func (p *drainPlay) judge(host string, at time.Duration) {
@@ -67,6 +68,7 @@
 	for seed := range uint64(40) {
 		s := leasing()
 		s.Probing = seed%2 == 1
+		s.DrainGrace = []time.Duration{250 * time.Millisecond, 2 * sec, 6 * sec}[seed%3]
 		p := &drainPlay{fake: listed(t, s, 5), rng: rand.New(rand.NewPCG(seed, 1)), began: map[string]time.Duration{}}
 		for range 20 {
 			p.step(true)
