Reckon with draining workers that serve for as long as the grace, where that is over 2 s

Change: a served call proves that its worker did not drain max(2 s, grace) before (decide/lease.go, drainServes).

--- a/decide/health.go
+++ b/decide/health.go
@@ -64,7 +64,7 @@
 			}
 		}
 		w.health[q.class], q.fn.served, w.failedAt = health{}, true, 0
-		w.proveReady(a.at - drainAccepts)
+		w.proveReady(a.at - r.drainServes())
 		r.goodRate, r.goodAt = r.rate()+1/lately.Seconds(), r.now
 		grow := spreadUp
 		if e.Note == BeganLoad { // memory bears fewer copies; else the store more loads, if this was quick
--- a/decide/lease.go
+++ b/decide/lease.go
@@ -45,6 +45,10 @@
 	return r.set.ToldWithin + r.set.DrainGrace - r.set.SendDelay - leaseMargin
 }
 
+// drainServes is how long a worker that drains may go on serving calls: at least for as long as gateways may
+// send it some. A served call proves that its worker did not drain so long before.
+func (r *Router) drainServes() time.Duration { return max(drainAccepts, r.set.DrainGrace) }
+
 // usable reports whether a worker may get new work: it is listed as ready, and its lease is not over.
 func (r *Router) usable(w *worker) bool { return w.host.State == Ready && r.leased(w) }
 
