--- a/internal/lab/sysfault/inspect.go
+++ b/internal/lab/sysfault/inspect.go
@@ -12,11 +12,7 @@
 
 // Local is the address of this end of the socket that the call's first argument refers to, "" if it is none.
 func (c Call) Local() string {
-	process, err := processOf(c.thread)
-	if err != nil {
-		return ""
-	}
-	socket, err := borrow(process, int(c.Args[0]))
+	_, socket, err := c.borrowFile()
 	if err != nil {
 		return ""
 	}
--- a/internal/lab/sysfault/part.go
+++ b/internal/lab/sysfault/part.go
@@ -16,11 +16,7 @@
 	if length == 0 {
 		return 0, nil
 	}
-	process, err := processOf(c.thread)
-	if err != nil {
-		return 0, err
-	}
-	file, err := borrow(process, int(c.Args[0]))
+	process, file, err := c.borrowFile()
 	if err != nil {
 		return 0, err
 	}
@@ -37,6 +33,15 @@
 	return unix.Write(file, half)
 }
 
+// borrowFile names the process that makes the call, and opens the descriptor that is its first argument.
+func (c Call) borrowFile() (process, file int, err error) {
+	if process, err = processOf(c.thread); err != nil {
+		return 0, 0, err
+	}
+	file, err = borrow(process, int(c.Args[0]))
+	return process, file, err
+}
+
 // borrow opens a descriptor of another process as one of this process's: the same open file, with its position.
 func borrow(process, descriptor int) (int, error) {
 	handle, err := unix.PidfdOpen(process, 0)
@@ -63,11 +68,7 @@
 
 // readShort makes a read of at most so many bytes in place of the process, on the same open file, and returns how many it gave.
 func readShort(c Call, most int) (int, error) {
-	process, err := processOf(c.thread)
-	if err != nil {
-		return 0, err
-	}
-	file, err := borrow(process, int(c.Args[0]))
+	process, file, err := c.borrowFile()
 	if err != nil {
 		return 0, err
 	}
