Give tests between gateways addresses that no other process is given

Cause: member_test.go, free: it has the kernel choose a port on 127.0.0.1, lets go of it and has the transport bind it; meanwhile a connection of another process on this machine got it. Nothing of the program is at fault.

Change: the port is chosen on an address of loopback that is this process's own, where no other process's connection begins. The lab's ports between gateways had the same gap, as two in five of them lie in the range that the kernel gives out; they end below it now.

--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -173,9 +174,11 @@
 	}
 }
 
-// free is an address that nobody has for datagrams or connections.
+// free is an address that nobody has for datagrams or connections. It is of this process's own part of loopback: between its
+// being found and being used, a connection of another process could get it at 127.0.0.1.
 func free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	own := net.IPv4(127, 100, byte(os.Getpid()>>8), byte(os.Getpid()))
+	l, err := net.Listen("tcp", net.JoinHostPort(own.String(), "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -60,6 +60,12 @@
 	queueEach    = 32              // calls that wait for a copy; further ones are turned away
 )
 
+// Gateways of a lab reach each other at one of these ports, which lie below those that the kernel gives out.
+const (
+	firstPeerPort = 20_000
+	peerPorts     = 12_000
+)
+
 // Classes of a lab, by the first letter of a request's body.
 var classes = map[byte]string{'r': "read", 'c': "command", 'o': "once"}
 
@@ -121,7 +127,7 @@
 		return nil, fmt.Errorf("lab: a program, 1 to 250 gateways and workers and 1 to 8 halls are needed: %d, %d, %d",
 			o.Gateways, o.Workers, o.Halls)
 	}
-	l := &Lab{Options: o, peers: 20_000 + (os.Getpid()+int(labs.Add(1))*7919)%20_000, rng: rand.New(rand.NewPCG(o.Seed, 1)), begun: time.Now(), runs: map[string]int{}, keyed: map[string]time.Time{},
+	l := &Lab{Options: o, peers: firstPeerPort + (os.Getpid()+int(labs.Add(1))*7919)%peerPorts, rng: rand.New(rand.NewPCG(o.Seed, 1)), begun: time.Now(), runs: map[string]int{}, keyed: map[string]time.Time{},
 		ranAt: map[string]int{}, sessions: map[string]int{}}
 	l.store = &store{lab: l}
 	for i := range o.Workers {
