Take a repeated call of fleet tests for agreed only by a refusal that names what it is about

Found on reading the change again. A fleet test that is told that its call is undecided makes it again, and took any refusal in the words of a repeat for agreement: also that of another release or another gateway's permit. The refusal has to name the call's own subject now, with a test of its own.

--- a/internal/fleettest/agreed_test.go
+++ b/internal/fleettest/agreed_test.go
@@ -28,8 +28,40 @@
 // moment. The entry may still come, so that an operator asks again.
 const undecided = "FAILURE it was not agreed in"
 
-// cameThrough is what a call that is made again is told if it had been agreed to the first time.
-var cameThrough = regexp.MustCompile(`^FAILURE .*(is declared already|one at a time|is there: it )`)
+// named is what a call is about, by its name; a drain is about its gateway.
+var named = regexp.MustCompile(`(?:name=|disable-server )(\S+)`)
+
+// cameThrough reports whether a call that was made again is refused since it had been agreed to the first time: the refusal names what
+// the call is about.
+func cameThrough(g *lab.Gateway, call, text string) bool {
+	subject := g.Name
+	if m := named.FindStringSubmatch(call); m != nil {
+		subject = m[1]
+	}
+	refusal := `^FAILURE .*\b` + regexp.QuoteMeta(subject) + ` (is declared already|is .+: one at a time|is there: it )`
+	return regexp.MustCompile(refusal).MatchString(text)
+}
+
+// A refusal of what another call has had agreed is none of this one's.
+func TestCameThrough(t *testing.T) {
+	g := &lab.Gateway{Name: "gw1"}
+	for _, c := range []struct {
+		call, text string
+		want       bool
+	}{
+		{"declare release name=two by=anna", "FAILURE release two is running: one at a time\n", true},
+		{"declare release name=two by=anna", "FAILURE release one is running: one at a time\n", false},
+		{"declare freeze name=feast by=anna", "FAILURE a period feast is declared already\n", true},
+		{"drain by=anna", "FAILURE permit 5 for gw1 is there: it waits\n", true},
+		{"drain by=anna", "FAILURE permit 5 for gw2 is there: it waits\n", false},
+		{"disable-server s-00000001 by=anna", "FAILURE permit 5 for s-00000001 is there: it waits\n", true},
+		{"declare limits by=anna gateways=1", "FAILURE a limit is -1\n", false},
+	} {
+		if got := cameThrough(g, c.call, c.text); got != c.want {
+			t.Errorf("%s, %q: %v", c.call, c.text, got)
+		}
+	}
+}
 
 // asked makes an operators' call that has to succeed, again for as long as it is undecided. A gateway has to say of each call
 // within a second what came of it.
@@ -38,7 +70,7 @@
 	text, err := g.Ask(call)
 	if again := err == nil && strings.HasPrefix(text, undecided); again {
 		text, err = await(g, call, eventLimit, func(text string) bool { return !strings.HasPrefix(text, undecided) })
-		if err == nil && cameThrough.MatchString(text) {
+		if err == nil && cameThrough(g, call, text) {
 			return text
 		}
 	}
