Carry out what applied entries require after the log's call has returned

What callers saw: an operator withdraws a ban or a drain at the leader while it takes effect, and the fleet may agree on nothing any more: no drain, release, freeze or ban, for good, once a second gateway has met the same fault. Calls of clients were served.

Cause: replog.Group.Written applies entries, whose callback reaches Agent.Propose and pump, all before raft's Advance. The next Ready made raft panic ("two accepted Ready structs without call to Advance") and the gateway gave up its vote. Group.Ready (restore) and the follower's replica call back in the same way. Deterministic for each proposal that a leader makes as it applies an entry; the race decides only whether there is one.

Also seen in the code: entries behind the panic in one Ready were handled against the state before them and skipped when they came again, so that bans could stay; that has not been seen in a run.

Change: Agent.noteApplied, the callback, only notes an entry; handleApplied carries out what it requires once the group or the replica has returned, in order, one at a time. replog answers every call from within onApplied with ErrInCallback and changes nothing. Own proposals are sent again in their order instead of a map's, and none that was completed on the way.

--- a/internal/fleet/agreement/agent.go
+++ b/internal/fleet/agreement/agent.go
@@ -76,8 +76,10 @@
 	failedAt       time.Duration    // time of that error
 	bootstrapping  bool             // the first write of a new log is not on disk yet
 	replica        *replog.Follower // the state as received from other gateways
-	handledIndex   uint64           // the last entry that handleApplied has processed
-	handledEra     uint64           // the era of that entry
+	notedIndex     uint64           // the last entry that noteApplied has noted
+	notedEra       uint64           // the era of that entry
+	unhandled      []replog.Applied // noted entries that handleApplied has not handled
+	handling       bool             // handleApplied is running
 	source         string           // the gateway that this one follows
 	lastFollowAt   time.Duration
 	currentAt      time.Duration // when the known state was last known to be current
@@ -107,7 +109,7 @@
 func New(host *fleet.Host, gateway Gateway, options Options) *Agent {
 	a := &Agent{host: host, gateway: gateway, options: options, log: host.Log().Named("agreed"), incarnations: map[string]incarnationRecord{},
 		pending: map[uint64]*proposal{}, followers: map[string]*followerState{}, answers: map[string]identityAnswer{}}
-	a.replica = replog.NewFollower(nil, a.handleApplied)
+	a.replica = replog.NewFollower(nil, a.noteApplied)
 	a.observed = newObservations()
 	a.lead = newLeaderState()
 	return a
@@ -126,7 +128,7 @@
 			a.incarnations[name] = record
 		}
 		if stored.Replica != nil {
-			if err := a.replica.Replace(stored.Replica); err != nil {
+			if err := a.replaceReplica(stored.Replica); err != nil {
 				a.log.Error("agreed state on disk is not usable", zap.Error(err))
 			}
 		}
@@ -148,7 +150,7 @@
 		} else {
 			a.eligibility = replog.NewEligibility(a.options.Name, a.host.Incarnation().Number, group.State().Voters)
 			if b, err := group.State().Encode(); err == nil && group.State().Index > a.replica.LastIndex() {
-				a.replica.Replace(b)
+				a.replaceReplica(b)
 			}
 		}
 	}
@@ -169,7 +171,7 @@
 // Adopt takes over the state that the previous process of this gateway knew, before this one joins the fleet.
 func (a *Agent) Adopt(state []byte) {
 	if len(state) > 0 {
-		if err := a.replica.Replace(state); err != nil {
+		if err := a.replaceReplica(state); err != nil {
 			a.log.Warn("agreed state of the previous process is not usable", zap.Error(err))
 			return
 		}
--- a/internal/fleet/agreement/apply.go
+++ b/internal/fleet/agreement/apply.go
@@ -9,19 +9,41 @@
 	"quillrail/internal/fleet/replog"
 )
 
-// handleApplied is called for every entry that is applied here, by the replica or by the group.
-func (a *Agent) handleApplied(applied replog.Applied) {
+// noteApplied is called by the group and the replica for every entry that they apply. They are in the middle of a call then, in which
+// they can't be called again, so the entry is only noted; handleApplied carries out what it requires after that call.
+func (a *Agent) noteApplied(applied replog.Applied) {
 	state := a.State()
-	if state.Era != a.handledEra {
-		a.handledEra, a.handledIndex = state.Era, 0
+	if state.Era != a.notedEra {
+		a.notedEra, a.notedIndex = state.Era, 0
 	}
-	if applied.Index <= a.handledIndex { // already handled: the replica and the group may both apply an entry
+	if applied.Index <= a.notedIndex { // already noted: the replica and the group may both apply an entry
 		return
 	}
-	a.handledIndex = applied.Index
+	a.notedIndex = applied.Index
 	a.recent.add(applied)
+	a.unhandled = append(a.unhandled, applied)
+}
+
+// handleApplied carries out what the noted entries require, in their order. It is called after each call of the group or the replica
+// that may apply entries. Entries that are noted meanwhile are handled by the outermost call.
+func (a *Agent) handleApplied() {
+	if a.handling {
+		return
+	}
+	a.handling = true
+	defer func() { a.handling = false }()
+	for len(a.unhandled) > 0 {
+		applied := a.unhandled[0]
+		a.unhandled = a.unhandled[1:]
+		a.handleEntry(applied)
+	}
+	a.unhandled = nil
+}
+
+// handleEntry carries out what an applied entry requires. The state may have advanced beyond that entry.
+func (a *Agent) handleEntry(applied replog.Applied) {
 	if applied.Snapshot {
-		a.permits.syncBans(a, state)
+		a.permits.syncBans(a, a.State())
 		return
 	}
 	if applied.Entry == nil {
@@ -35,6 +57,13 @@
 	a.updateFollowers()
 }
 
+// replaceReplica replaces the replica's state by an encoded one if that is newer.
+func (a *Agent) replaceReplica(encoded []byte) error {
+	err := a.replica.Replace(encoded)
+	a.handleApplied()
+	return err
+}
+
 // rejoinDelay is how long a gateway that has abandoned its log does not become a learner again: its disk may stay full
 // for a while.
 const rejoinDelay = 10 * time.Second
@@ -48,7 +77,7 @@
 	}
 	a.log.Error("replication of the log has failed, this gateway is no longer a voter", zap.Error(err))
 	if b := a.EncodedState(); b != nil && !a.bootstrapping {
-		a.replica.Replace(b)
+		a.replaceReplica(b)
 	}
 	a.bootstrapping = false
 	a.forfeitVote()
--- a/internal/fleet/agreement/eligibility.go
+++ b/internal/fleet/agreement/eligibility.go
@@ -72,7 +72,7 @@
 func (a *Agent) applyVerdict() {
 	switch a.eligibility.Verdict() {
 	case replog.VerdictVote:
-		group, err := replog.Open(a.options.Name, *a.storedLog, a.handleApplied)
+		group, err := replog.Open(a.options.Name, *a.storedLog, a.noteApplied)
 		if err != nil {
 			a.log.Error("log on disk is not usable, giving up this gateway's vote", zap.Error(err))
 			a.forfeitVote()
@@ -136,7 +136,7 @@
 		a.log.Error("cannot start a new log", zap.Error(err))
 		return
 	}
-	group, err := replog.Open(a.options.Name, replog.Disk{ID: a.voterID, Hard: write.Hard, Snap: write.Snap}, a.handleApplied)
+	group, err := replog.Open(a.options.Name, replog.Disk{ID: a.voterID, Hard: write.Hard, Snap: write.Snap}, a.noteApplied)
 	if err != nil {
 		a.log.Error("cannot start a new log", zap.Error(err))
 		return
@@ -165,7 +165,7 @@
 func (a *Agent) stopVoting() {
 	a.log.Info("this gateway was removed from the voters and follows them")
 	if b := a.EncodedState(); b != nil {
-		a.replica.Replace(b)
+		a.replaceReplica(b)
 	}
 	a.forfeitVote()
 }
--- a/internal/fleet/agreement/fail_test.go
+++ b/internal/fleet/agreement/fail_test.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	group, err := replog.Open("g1", replog.Disk{ID: a.voterID, Hard: write.Hard, Snap: write.Snap}, a.handleApplied)
+	group, err := replog.Open("g1", replog.Disk{ID: a.voterID, Hard: write.Hard, Snap: write.Snap}, a.noteApplied)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleet/agreement/follow.go
+++ b/internal/fleet/agreement/follow.go
@@ -177,7 +177,7 @@
 func (a *Agent) handleUpdate(from string, msg message) {
 	switch msg.Kind {
 	case messageState:
-		if err := a.replica.Replace(msg.Body); err != nil {
+		if err := a.replaceReplica(msg.Body); err != nil {
 			a.log.Warn("received agreed state cannot be decoded", zap.String("gateway", from), zap.Error(err))
 		}
 	case messageEntries:
@@ -187,6 +187,7 @@
 		if err := a.replica.ApplyEntries(msg.Index, msg.Entries); err != nil {
 			a.log.Debug("received entries do not continue the known ones", zap.Error(err))
 		}
+		a.handleApplied()
 	case messageHeartbeat:
 		a.recordClockOffset(msg)
 		a.reportedLeader = msg.Name
--- a/internal/fleet/agreement/messages.go
+++ b/internal/fleet/agreement/messages.go
@@ -100,7 +100,7 @@
 		if a.eligibility != nil || a.failedRecently() { // undecided whether the stored log may be used, or just abandoned
 			return
 		}
-		group, err := replog.OpenLearner(a.options.Name, a.voterID, a.handleApplied)
+		group, err := replog.OpenLearner(a.options.Name, a.voterID, a.noteApplied)
 		if err != nil {
 			a.log.Error("cannot start as a learner of the log", zap.Error(err))
 			return
@@ -132,21 +132,24 @@
 		}
 		if out.Write == nil {
 			a.sendAndApply(out)
-			continue
+		} else {
+			a.writeThenSend(out)
 		}
-		a.writing = true
-		group := a.group
-		a.persist(out.Write, func() {
-			if a.group != group { // abandoned in the meantime
-				return
-			}
-			a.writing = false
-			a.sendAndApply(out)
-			a.pump()
-		})
+		a.handleApplied()
 	}
 }
 
+// writeThenSend writes an output to disk, then sends its messages and applies its entries.
+func (a *Agent) writeThenSend(out *replog.Output) {
+	a.writing = true
+	a.persist(out.Write, func() { // not called if the group is abandoned in the meantime
+		a.writing = false
+		a.sendAndApply(out)
+		a.handleApplied()
+		a.pump()
+	})
+}
+
 // sendAndApply sends the messages of an output whose write is on disk, and applies the committed entries.
 func (a *Agent) sendAndApply(out *replog.Output) {
 	for _, envelope := range out.Messages {
@@ -162,7 +165,7 @@
 	if more != nil {
 		a.persist(more, func() {})
 	}
-	if a.group.Removed() {
+	if a.group != nil && a.group.Removed() {
 		a.stopVoting()
 	}
 }
--- a/internal/fleet/agreement/propose.go
+++ b/internal/fleet/agreement/propose.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -122,10 +124,12 @@
 	}
 }
 
-// retryProposals resends proposals that have not been applied, and gives up those that are too old.
+// retryProposals resends proposals that have not been applied, in their order, and gives up those that are too old.
 func (a *Agent) retryProposals(now time.Duration) {
-	for seq, p := range a.pending {
+	for _, seq := range slices.Sorted(maps.Keys(a.pending)) {
+		p := a.pending[seq]
 		switch {
+		case p == nil: // completed while an earlier one was resent
 		case now > p.deadline:
 			delete(a.pending, seq)
 			p.done(0, errNoLeader)
--- a/internal/fleet/agreement/rebuild.go
+++ b/internal/fleet/agreement/rebuild.go
@@ -67,7 +67,7 @@
 		a.log.Warn("another gateway has rebuilt the log, giving up this gateway's vote", zap.String("from", from), zap.Uint64("era", msg.Era))
 		if a.group != nil {
 			if encoded := a.EncodedState(); encoded != nil {
-				a.replica.Replace(encoded)
+				a.replaceReplica(encoded)
 			}
 		}
 		a.forfeitVote()
--- a/internal/fleet/replog/group.go
+++ b/internal/fleet/replog/group.go
@@ -20,7 +20,8 @@
 	maxUncommitted = 8 << 20   // bytes of entries that are not committed
 )
 
-// Group is one voter's part in replicating the log. It must be used by one goroutine only, and it never blocks.
+// Group is one voter's part in replicating the log. It must be used by one goroutine only, and it never blocks. onApplied must not
+// call it: such calls change nothing and return ErrInCallback.
 type Group struct {
 	id            uint64
 	self          string
@@ -32,6 +33,7 @@
 	applied       uint64      // index of the last applied entry
 	compactedTo   uint64      // index up to which entries have been compacted
 	onApplied     func(Applied)
+	inCallback    bool   // onApplied is running, in the middle of a call
 	leaderID      uint64 // 0 if unknown
 	leaderContact bool   // a leader was in contact since the last call of TakeLeaderContact
 	votersChanged bool   // the voters have changed since the last snapshot
@@ -41,7 +43,32 @@
 	lastContactTick map[uint64]uint64 // by voter ID, the tick of the last message from that voter or learner
 }
 
-var errStopped = errors.New("agree: this gateway has stopped its part of the log")
+var (
+	errStopped   = errors.New("agree: this gateway has stopped its part of the log")
+	errNotLeader = errors.New("agree: this voter is not the leader, or has not applied all committed entries")
+)
+
+// ErrInCallback is the result of a call that onApplied makes: the call that runs onApplied has to return first, because raft
+// is between two of its steps until then.
+var ErrInCallback = errors.New("agree: the log was called while it applies an entry")
+
+// usable returns the reason why no call can be handled now, nil if there is none.
+func (g *Group) usable() error {
+	switch {
+	case g.node == nil:
+		return errStopped
+	case g.inCallback:
+		return ErrInCallback
+	}
+	return nil
+}
+
+// notify calls onApplied.
+func (g *Group) notify(applied Applied) {
+	g.inCallback = true
+	defer func() { g.inCallback = false }()
+	g.onApplied(applied)
+}
 
 func (g *Group) start() (err error) {
 	defer g.recoverPanic(&err)
@@ -69,8 +96,8 @@
 // Tick advances the time by one tick.
 func (g *Group) Tick() (err error) {
 	defer g.recoverPanic(&err)
-	if g.node == nil {
-		return errStopped
+	if err := g.usable(); err != nil {
+		return err
 	}
 	g.ticks++
 	g.node.Tick()
@@ -80,8 +107,8 @@
 // Step handles a message of another voter.
 func (g *Group) Step(b []byte) (err error) {
 	defer g.recoverPanic(&err)
-	if g.node == nil {
-		return errStopped
+	if err := g.usable(); err != nil {
+		return err
 	}
 	m := &pb.Message{}
 	if err := proto.Unmarshal(b, m); err != nil {
@@ -154,8 +181,11 @@
 // never goes back.
 func (g *Group) Propose(e *Entry, at int64) (err error) {
 	defer g.recoverPanic(&err)
+	if err := g.usable(); err != nil {
+		return err
+	}
 	if !g.LeaderReady() {
-		return errors.New("agree: this voter is not the leader, or has not applied all committed entries")
+		return errNotLeader
 	}
 	e.At = max(at, g.state.At)
 	b, err := msgpack.Marshal(e)
@@ -168,8 +198,11 @@
 // ProposeVoterChange proposes to add, update or remove one voter.
 func (g *Group) ProposeVoterChange(v Voter, remove bool) (err error) {
 	defer g.recoverPanic(&err)
+	if err := g.usable(); err != nil {
+		return err
+	}
 	if !g.LeaderReady() {
-		return errors.New("agree: this voter is not the leader, or has not applied all committed entries")
+		return errNotLeader
 	}
 	kind := pb.ConfChangeAddNode
 	switch {
@@ -189,7 +222,7 @@
 func (g *Group) TransferLead(to uint64) {
 	var err error
 	defer g.recoverPanic(&err)
-	if g.Leads() {
+	if g.Leads() && !g.inCallback {
 		g.node.TransferLeader(to)
 	}
 }
@@ -197,8 +230,8 @@
 // Campaign makes this voter stand for election at once.
 func (g *Group) Campaign() (err error) {
 	defer g.recoverPanic(&err)
-	if g.node == nil {
-		return errStopped
+	if err := g.usable(); err != nil {
+		return err
 	}
 	return g.node.Campaign()
 }
--- a/internal/fleet/replog/network_test.go
+++ b/internal/fleet/replog/network_test.go
@@ -23,7 +23,9 @@
 	appliedAt map[uint64]string // by index, the entry that the first member applied there
 	failure   error
 	steps     int
-	lostDisks map[uint64]bool // voter IDs of lost disks, which must never vote again
+	lostDisks map[uint64]bool        // voter IDs of lost disks, which must never vote again
+	onApplied func(*member, Applied) // nil, or called from within each callback of a group
+	afterCall func(*member)          // nil, or called after each call in which a group applies entries
 }
 
 type transitMessage struct {
@@ -105,6 +107,9 @@
 
 // checkApplied compares an applied entry with what other members have applied at the same index.
 func (m *member) checkApplied(applied Applied) {
+	if m.network.onApplied != nil {
+		m.network.onApplied(m, applied)
+	}
 	if applied.Snapshot {
 		return
 	}
@@ -145,6 +150,9 @@
 		} else if more != nil {
 			m.disk.apply(more)
 		}
+		if m.network.afterCall != nil {
+			m.network.afterCall(m)
+		}
 	}
 }
 
--- a/internal/fleet/replog/ready.go
+++ b/internal/fleet/replog/ready.go
@@ -12,8 +12,8 @@
 // the previous output.
 func (g *Group) Ready() (out *Output, err error) {
 	defer g.recoverPanic(&err)
-	if g.node == nil {
-		return nil, errStopped
+	if err := g.usable(); err != nil {
+		return nil, err
 	}
 	if g.pendingReady != nil || !g.node.HasReady() {
 		return nil, nil
@@ -83,7 +83,7 @@
 	g.state, g.confState = s, snap.GetMetadata().GetConfState()
 	g.applied = snap.GetMetadata().GetIndex()
 	g.compactedTo = g.applied
-	g.onApplied(Applied{Index: g.applied, Snapshot: true})
+	g.notify(Applied{Index: g.applied, Snapshot: true})
 	return nil
 }
 
@@ -91,7 +91,10 @@
 // a new snapshot with the removal of compacted entries.
 func (g *Group) Written() (more *Write, err error) {
 	defer g.recoverPanic(&err)
-	if g.node == nil || g.pendingReady == nil {
+	if err := g.usable(); err != nil {
+		return nil, err
+	}
+	if g.pendingReady == nil {
 		return nil, errStopped
 	}
 	ready := *g.pendingReady
@@ -130,7 +133,7 @@
 		g.removed = g.removed || remove && change.GetNodeId() == g.id
 	}
 	applied.Entry, applied.Err = g.state.applyRaw(e.GetIndex(), applied.Raw)
-	g.onApplied(applied)
+	g.notify(applied)
 }
 
 // compact takes a snapshot and drops entries that no voter needs unless it is far behind.
