Send the state, not empty messages, to the followers of a log that is being rebuilt

What operators would see: after `declare rebuild` links between gateways full of empty messages, each answered with a request for the whole state, and an event loop that is busy with them: 4,096 messages at a time, again each 0.5 s, until the new log is on disk.

Cause: a rebuilt log begins with a state one entry beyond the last one that was applied (replog.Bootstrap). For a follower that had that last entry, recentEntries.after returns none, and true; sendUpdates sent these none and looped until the link's queue was full. Found on reading, when the rebuild had no test; with a quick disk the moment is a few ms, so no run of real processes has shown it.

Change: without entries to send the whole state is sent. TestFollowerOfARebuiltLogGetsTheStateOnce holds the log's first write back; before: "the next entry to send is 3, want 4", after the loop had filled the queue; now passed 3 of 3 with -race.

--- a/internal/fleet/agreement/follow.go
+++ b/internal/fleet/agreement/follow.go
@@ -40,7 +40,7 @@
 }
 
 // after returns the entries that follow the given index, at most maxEntriesPerMessage, and false if they are no longer
-// remembered.
+// remembered. There are none after the last one that was applied.
 func (r *recentEntries) after(index uint64) ([][]byte, bool) {
 	if index+1 < r.first || index+1 > r.first+uint64(len(r.raw)) {
 		return nil, false
@@ -100,7 +100,7 @@
 	follower, state := a.followers[to], a.State()
 	for follower.next <= state.Index {
 		raw, ok := a.recent.after(follower.next - 1)
-		if !ok || follower.next == 1 {
+		if !ok || len(raw) == 0 || follower.next == 1 { // the first entry of a rebuilt log is a state
 			body, err := state.Encode()
 			if err != nil || !a.send(to, message{Kind: messageState, Body: body}) {
 				return
