Keep the queue of broadcasts free of the lock under which membership events are reported

What callers would see: a gateway that answers nothing any more, for good.

Cause: memberlist calls NotifyUpdate under the lock of its list; that callback posts to the event loop and waits while the mailbox is full. An answer to a probe takes the lock of the queue of broadcasts and, in NumNodes, that of the list. The event loop waits for the queue in Broadcast, so the mailbox stays full.

Change: NumNodes counts the alive gateways by the routes that the transport keeps, with an atomic counter, and takes no lock.

--- a/internal/fleet/member/delegate.go
+++ b/internal/fleet/member/delegate.go
@@ -72,7 +72,7 @@
 		t.reportOnce(err.Error())
 		return
 	}
-	t.routes.Store(metadata.Name, route{n.Address(), detected == Joining})
+	t.setRoute(metadata.Name, route{n.Address(), detected == Joining})
 	e := Event{Metadata: metadata, State: metadata.State}
 	if detected != Joining {
 		e.State = detected
--- a/internal/fleet/member/reach.go
+++ b/internal/fleet/member/reach.go
@@ -10,6 +10,21 @@
 	alive bool
 }
 
+// setRoute stores the route of a gateway.
+func (t *Transport) setRoute(name string, to route) {
+	former, _ := t.routes.Swap(name, to)
+	if known, ok := former.(route); ok && known.alive {
+		t.alive.Add(-1)
+	}
+	if to.alive {
+		t.alive.Add(1)
+	}
+}
+
+// fleetSize returns how many gateways are alive, this one included. The queue of broadcasts calls it while it is locked, so it must not
+// take the lock of memberlist's list, under which events are reported.
+func (t *Transport) fleetSize() int { return max(1, int(t.alive.Load())) }
+
 // aliveAddrs returns the addresses of the other gateways that are alive.
 func (t *Transport) aliveAddrs() (addrs []string) {
 	t.routes.Range(func(name, p any) bool {
--- a/internal/fleet/member/transport.go
+++ b/internal/fleet/member/transport.go
@@ -63,6 +63,7 @@
 	metadata atomic.Pointer[Metadata]
 	stop     context.CancelFunc
 	done     chan struct{}
+	alive    atomic.Int64  // gateways in routes that are alive
 	dropped  atomic.Uint64 // broadcasts that were too large or found the queue full
 	reported sync.Map      // texts of the problems that have been reported
 }
@@ -102,12 +103,7 @@
 	config.SuspicionMult, config.SuspicionMaxTimeoutMult = 3, 2
 	config.GossipInterval, config.PushPullInterval, config.GossipToTheDeadTime = 100*time.Millisecond, 10*time.Second, 10*time.Second
 	config.DeadNodeReclaimTime = time.Second // after this time a name may return at another address
-	t.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: 3, NumNodes: func() int {
-		if t.list == nil {
-			return 1
-		}
-		return t.list.NumMembers()
-	}}
+	t.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: 3, NumNodes: t.fleetSize}
 	if t.list, err = memberlist.Create(config); err != nil {
 		sockets.Shutdown()
 		return nil, fmt.Errorf("member: %w", err)
