Say that a freeze begins too far ahead instead of that it lies in the past

What operators saw: a freeze declared for 2031 was refused with "it lies in the past".

Cause: State.Declare took every period without a known next start for one of the past; occurrences are computed 400 days ahead.

Change: the reason says that it begins later than 400 days ahead, that none of its occurrences begins by then, or that it is past. What is accepted is as before. Test: two lines of TestExceptionNeedsTwoOperatorsAndAllowsOneChange, which failed before with "it lies in the past".

--- a/internal/fleet/freeze/freeze_test.go
+++ b/internal/fleet/freeze/freeze_test.go
@@ -146,6 +146,10 @@
 		}
 	}
 	want("already", s.Declare(p, c, time.Minute))
+	want("begins on 2031-01-01T00:00: a period is declared at most 400 days ahead", s.Declare(&Period{Name: "late", Owner: "o",
+		Start: "2031-01-01T00:00", End: "2031-01-02T00:00", Zone: "UTC"}, c, 0))
+	want("none of its occurrences begins within 400 days", s.Declare(&Period{Name: "rare", Owner: "o", Start: "2026-06-01T00:00",
+		End: "2026-06-02T00:00", Zone: "UTC", Rule: "FREQ=YEARLY;INTERVAL=2"}, c, 0))
 	want("past", s.Declare(&Period{Name: "old", Owner: "o", Start: "2026-01-01T00:00", End: "2026-01-02T00:00", Zone: "UTC"}, c, 0))
 	want("begins in", s.Declare(&Period{Name: "soon", Owner: "o", Start: "2026-12-01T00:01", End: "2026-12-02T00:00", Zone: "UTC"},
 		c, time.Minute))
--- a/internal/fleet/freeze/period.go
+++ b/internal/fleet/freeze/period.go
@@ -119,6 +119,19 @@
 	return loc, nil
 }
 
+// noStartError says why a valid period has no start that NextStart knows at a time.
+func (p *Period) noStartError(now time.Time) error {
+	const days = horizon / (24 * time.Hour)
+	start, err := parseLocal(p.Start)
+	switch {
+	case err == nil && start.After(now):
+		return fmt.Errorf("it begins on %s: a period is declared at most %d days ahead", p.Start, days)
+	case p.Rule != "":
+		return fmt.Errorf("none of its occurrences begins within %d days", days)
+	}
+	return fmt.Errorf("it lies in the past")
+}
+
 // ruleOptions returns the parsed recurrence rule. It ends no later than until, since the search for an occurrence of a rule that
 // never matches would not end.
 func (p *Period) ruleOptions(start, until time.Time) (*rrule.ROption, error) {
--- a/internal/fleet/freeze/state.go
+++ b/internal/fleet/freeze/state.go
@@ -51,7 +51,7 @@
 	}
 	next, ok := p.NextStart(c.At)
 	if !ok {
-		return fmt.Errorf("it lies in the past")
+		return p.noStartError(c.At)
 	}
 	if next.Sub(c.At) < leadTime+c.Bound {
 		return fmt.Errorf("it begins in %v: declare it %v before", next.Sub(c.At).Round(time.Second), leadTime+c.Bound)
