Name the first byte of a foreign link instead of a nil error

What operators saw: at debug level, for a connection of something else at the port of a fleet, "does not begin with the magic byte: %!w(<nil>)". Cause: one condition for a read that failed and a byte that is another one, with %w for both. Two conditions now; the reader's error stays io.EOF for one that ends at once. TestErrorOfAForeignConnectionNamesItsFirstByte failed before on that text.

--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -168,8 +168,12 @@
 func (n *Manager) serve(c net.Conn) error {
 	r := bufio.NewReader(c)
 	c.SetReadDeadline(time.Now().Add(ioTimeout))
-	if b, err := r.ReadByte(); err != nil || b != Magic {
-		return fmt.Errorf("link: connection does not begin with the magic byte: %w", err)
+	first, err := r.ReadByte()
+	if err != nil {
+		return fmt.Errorf("link: connection without a first byte: %w", err)
+	}
+	if first != Magic {
+		return fmt.Errorf("link: connection begins with byte %#02x, not with the magic byte", first)
 	}
 	var from Hello
 	if err := readFrame(r, maxHello, &from); err != nil {
