Wake what a relay of the lab holds when it is cut

Cut set its faults without waking the pumps that wait for the end of a hold, so that a cut after a hold held the bytes on and the connection did not end with its client. Cut broadcasts like Set, set and Heal.

--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -23,7 +23,7 @@
 	ln      net.Listener
 	target  func() string
 	mu      sync.Mutex // guards the fields below
-	changed sync.Cond  // broadcast when closed is set, and when faults change other than by Cut
+	changed sync.Cond  // broadcast when closed is set and when faults change
 	faults  [2]Fault   // 0: to the target, 1: from the target
 	conns   map[net.Conn]bool
 	cut     bool // new connections are accepted, but not forwarded
@@ -77,6 +77,7 @@
 func (r *Relay) Cut() {
 	r.mu.Lock()
 	r.cut, r.faults = true, [2]Fault{{Drop: true}, {Drop: true}}
+	r.changed.Broadcast()
 	r.mu.Unlock()
 }
 
--- a/internal/lab/relay_test.go
+++ b/internal/lab/relay_test.go
@@ -54,6 +54,30 @@
 	}
 }
 
+// Guards against a test that waits for good: a cut has to wake what waits for the end of a hold.
+func TestCutEndsAHold(t *testing.T) {
+	ended := make(chan Fault)
+	for attempt := range 1000 { // in most of them the wait begins before the cut
+		r := &Relay{faults: [2]Fault{{Hold: true}, {}}}
+		r.changed.L = &r.mu
+		started := make(chan struct{})
+		go func() {
+			close(started)
+			ended <- r.waitWhileHeld(0)
+		}()
+		<-started
+		r.Cut()
+		select {
+		case fault := <-ended:
+			if !fault.Drop {
+				t.Fatalf("attempt %d: the direction is %+v after the cut", attempt, fault)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("attempt %d: still held after the cut", attempt)
+		}
+	}
+}
+
 // A cut loses all datagrams and Drop about its part of them. Reorder neither loses nor duplicates any, except that the last one may
 // be held back.
 func TestDatagramRelayImpairments(t *testing.T) {
