Withdraw a drain or a ban that may still be agreed when its operator takes it back

What callers saw: a gateway is drained that no operator wants drained. `drain` at a gateway that hears no majority is told that it may still come; `resume` at the same gateway answers SUCCESS; a second later the drain is agreed, the gateway sends its clients away, and nothing brings it back.

Cause: Agent.CancelDrain looked for a permit only, of which this gateway knew none yet, and the request was sent again until it was agreed. enable-server at the gateway of a disable-server that is undecided has the same shape.

Change: a request that is taken back is not sent again, and if it is agreed all the same its permit is withdrawn as it is applied, also when that is learnt from a whole state, which does not show its entry (replog.State.HasApplied). Emergency permits stay: their subjects were out. Not covered: a request whose entry is agreed over 30 s later, when nobody remembers it.

Result: TestResumeWithdrawsADrainThatMayStillCome with real processes: cut off, heard but not hearing, and cut off with an emergency drain.

--- a/internal/fleet/agreement/apply.go
+++ b/internal/fleet/agreement/apply.go
@@ -44,6 +44,7 @@
 func (a *Agent) handleEntry(applied replog.Applied) {
 	if applied.Snapshot {
 		a.permits.syncBans(a, a.State())
+		a.withdrawFromState(a.State())
 		return
 	}
 	if applied.Entry == nil {
--- a/internal/fleet/agreement/holder.go
+++ b/internal/fleet/agreement/holder.go
@@ -139,21 +139,6 @@
 	return nil
 }
 
-// CancelDrain is called when an operator lets this gateway take clients again. It withdraws or returns the permit under
-// which the gateway drains.
-func (a *Agent) CancelDrain() {
-	permit := a.OwnPermit()
-	switch {
-	case permit == nil || permit.Holder != a.options.Name || permit.Release != 0:
-	case permit.Phase <= change.Granted: // the permit is not in use yet and no longer wanted
-		a.permits.withdrawnPermit = permit.ID
-		a.Propose("lapse", "", 0, change.PermitBody{ID: permit.ID, Why: "its drain was taken back"}, nil)
-	case permit.Phase == change.InUse:
-		a.permits.drainPermit = 0
-		a.returnOwnPermit(permit.ID)
-	}
-}
-
 // StepFailed is called when a step of a release has failed at this gateway, which goes on unchanged. It halts the
 // release.
 func (a *Agent) StepFailed(why string) {
@@ -191,35 +176,6 @@
 	return nil
 }
 
-// ReturnPermit ends a permit because an operator says that its subjects may be used again. done is called once, within a
-// second.
-func (a *Agent) ReturnPermit(permit *change.Permit, by string, done func(string, error)) {
-	a.withdrawPermit(permit.ID, by, a.withTimeout(func(_ uint64, err error) { done("", err) }))
-}
-
-// withdrawPermit proposes the entry that ends a permit in its present phase. If the permit changes its phase before that
-// entry is applied, the entry has no effect, and the entry that fits the new phase is proposed.
-func (a *Agent) withdrawPermit(id uint64, by string, done func(uint64, error)) {
-	withdrawal, err := a.State().Change.CancelOrReturn(id, a.host.Incarnation().Number, "taken back by "+by)
-	if err != nil {
-		done(0, err)
-		return
-	}
-	a.Propose(withdrawal.Kind, by, 0, withdrawal.Body, func(index uint64, err error) {
-		if err != nil && a.withdrawalChanged(id, withdrawal) {
-			a.withdrawPermit(id, by, done)
-			return
-		}
-		done(index, err)
-	})
-}
-
-// withdrawalChanged reports whether ending a permit now takes another entry than the one that was proposed.
-func (a *Agent) withdrawalChanged(id uint64, proposed change.Proposal) bool {
-	now, err := a.State().Change.CancelOrReturn(id, 0, "")
-	return err == nil && now.Kind != proposed.Kind
-}
-
 // ReportEmergency records that an operator has taken a subject out of service without a permit. The emergency permit
 // makes the limits take its absence into account.
 func (a *Agent) ReportEmergency(subject change.Subject, holder, by, why string) {
--- a/internal/fleet/agreement/propose.go
+++ b/internal/fleet/agreement/propose.go
@@ -22,12 +22,15 @@
 
 // proposal is an entry that this gateway has proposed and that has not been applied here.
 type proposal struct {
-	entry     *replog.Entry
-	raw       []byte
-	createdAt time.Duration
-	sentAt    time.Duration
-	deadline  time.Duration
-	done      func(index uint64, err error)
+	entry      *replog.Entry
+	raw        []byte
+	request    *change.Permit // the permit that it asks for, nil if it asks for none
+	withdrawn  bool           // an operator has taken the request back
+	knownIndex uint64         // index of the state that was known when it was made
+	createdAt  time.Duration
+	sentAt     time.Duration
+	deadline   time.Duration
+	done       func(index uint64, err error)
 }
 
 // Propose proposes an entry. done is called on the event loop: once the entry has been applied here, with the reason if
@@ -54,8 +57,14 @@
 		return
 	}
 	p := &proposal{entry: entry, raw: raw, createdAt: a.host.Now(), deadline: a.host.Now() + proposalTimeout, done: done}
-	if permit, ok := body.(*change.Permit); ok && permit.Emergency {
-		p.deadline = a.host.Now() + emergencyTimeout
+	if state := a.State(); state != nil {
+		p.knownIndex = state.Index
+	}
+	if permit, ok := body.(*change.Permit); ok {
+		p.request = permit
+		if permit.Emergency {
+			p.deadline = a.host.Now() + emergencyTimeout
+		}
 	}
 	a.pending[a.seq] = p
 	a.sendProposal(p)
@@ -133,7 +142,7 @@
 		case now > p.deadline:
 			delete(a.pending, seq)
 			p.done(0, errNoLeader)
-		case now-p.sentAt > resendAfter:
+		case now-p.sentAt > resendAfter && !p.withdrawn:
 			a.sendProposal(p)
 		}
 	}
@@ -148,5 +157,8 @@
 	if p := a.pending[applied.Entry.Seq]; p != nil {
 		delete(a.pending, applied.Entry.Seq)
 		p.done(applied.Index, applied.Err)
+		if p.withdrawn && applied.Err == nil {
+			a.withdrawApplied(applied.Index)
+		}
 	}
 }
--- a/internal/fleet/replog/state.go
+++ b/internal/fleet/replog/state.go
@@ -173,13 +173,23 @@
 		}
 		applied.Highest = seq
 		return true
-	case applied.Highest-seq >= proposalWindow || applied.Mask>>(applied.Highest-seq)&1 == 1:
+	case s.HasApplied(from, incarnation, seq):
 		return false
 	}
 	applied.Mask |= 1 << (applied.Highest - seq)
 	return true
 }
 
+// HasApplied reports whether a proposal of a gateway has been applied. One that is so old that it is not remembered counts as applied.
+func (s *State) HasApplied(from string, incarnation, seq uint64) bool {
+	applied := s.Proposers[from]
+	if applied == nil || applied.Incarnation != incarnation || seq > applied.Highest {
+		return false
+	}
+	age := applied.Highest - seq
+	return age >= proposalWindow || applied.Mask>>age&1 == 1
+}
+
 // freezeNotice returns how long before its start a freeze has to be declared.
 func (s *State) freezeNotice() time.Duration {
 	return time.Duration(s.Rules.FreezeAheadMs) * time.Millisecond
--- a/internal/fleettest/majority_test.go
+++ b/internal/fleettest/majority_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"testing"
+
+	"quillrail/internal/lab"
 )
 
 // A gateway without a majority is drained only by an emergency drain, which all gateways learn of once the partition is healed.
@@ -67,3 +69,47 @@
 		t.Errorf("calls were lost: %+v\n%q", totals, traffic.ErrorSamples())
 	}
 }
+
+// Guards against a drain that comes after its operator has taken it back: a gateway that hears no majority can't tell whether its drain is
+// agreed later, and resume has to withdraw it whether or not it is.
+func TestResumeWithdrawsADrainThatMayStillCome(t *testing.T) {
+	for _, test := range []struct {
+		name, drain, reply string
+		heard              bool // the others hear the gateway, which hears none of them
+	}{
+		{"cut off", "drain by=anna", undecidedReply, false},
+		{"heard, and agreed meanwhile", "drain by=anna", undecidedReply, true},
+		{"cut off, emergency", "drain emergency by=anna why=it burns", "SUCCESS", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runInParallel(t)
+			fleet := startFleet(t, lab.Options{Gateways: 3, Halls: 3, Fleet: true, Voters: 3, FleetSettings: twoAtOnce, PeerRelays: true})
+			traffic := fleet.Start(mixedLoad)
+			awaitSettled(t, fleet)
+			gateway := fleet.Gateways[0]
+			fleet.Partition([]int{0}, []int{1, 2})
+			if test.heard {
+				for other := 1; other < len(fleet.Gateways); other++ {
+					fleet.Impair(0, other, lab.Impairment{})
+				}
+			}
+			awaitAgreed(t, gateway, "no majority is heard")
+			if text, err := gateway.SendCommand(test.drain); err != nil || !strings.HasPrefix(text, test.reply) {
+				t.Fatalf("reply %q, error %v, want %q", text, err, test.reply)
+			}
+			if test.heard {
+				awaitAgreed(t, fleet.Gateways[1], "(out: gateway|for gateway) gw1 .*anna|of anna for gateway gw1")
+			}
+			mustCall(t, gateway, "resume")
+			fleet.Heal()
+			mustCall(t, gateway, "declare limits by=boris gateways=1")
+			awaitServed(t, traffic, 300) // several times as long as a proposal takes that is sent again
+			if text, err := gateway.SendCommand("ready"); err != nil || !strings.HasPrefix(text, "SUCCESS") {
+				t.Errorf("the gateway is drained although that was taken back: reply %q, error %v\n%s", text, err, gateway.Process().Log())
+			}
+			awaitStat(t, fleet.Gateways, noneUnavailable)
+			awaitStat(t, fleet.Gateways, func(*lab.Gateway) string { return "svc.fleet.agreed.permits:0|g" })
+			requireNoLostCalls(t, endAndCheck(t, fleet, traffic), traffic)
+		})
+	}
+}
--- a/internal/lifecycle/operator.go
+++ b/internal/lifecycle/operator.go
@@ -99,16 +99,23 @@
 }
 
 // enableServer puts a worker back into service. If it is out of service by a permit, the permit is returned and all gateways use
-// the worker again; otherwise its ban is lifted.
+// the worker again; otherwise its ban is lifted. A request of this gateway that may still be agreed is withdrawn.
 func (a *operatorAPI) enableServer(call opfront.Call, done func(string, error)) {
 	g := (*Gateway)(a)
+	withdrawn := false
 	if g.requiresPermits() {
-		if p := g.agreement.PermitOf(change.NewSubject(change.Worker, call.ID)); p != nil {
+		subject := change.NewSubject(change.Worker, call.ID)
+		withdrawn = g.agreement.WithdrawRequests(subject)
+		if p := g.agreement.PermitOf(subject); p != nil {
 			g.agreement.ReturnPermit(p, requester(call), done)
 			return
 		}
 	}
-	done("", a.Enable(call.ID))
+	err := a.Enable(call.ID)
+	if withdrawn { // its ban may not be in use yet
+		err = nil
+	}
+	done("", err)
 }
 
 // agreementCall executes the calls that need the agreement part.
