Leave nil errors out of the replies and log lines of the agreement

What operators saw: with 32 proposals under way, "32 proposals are under way; %!w(<nil>)"; the same beyond 8,192 known gateways and workers, and for a gateway without a disk that has to write the log. Found on looking for the shape that the link had: one condition for an error and for something else, and %w for both.

Change: one condition each, errNoDisk and checkKnowable. TestTooManyProposalsAreRefusedWithAReason and TestStatusBeyondTheLimitIsRejectedWithAReason failed before with "%!w(<nil>)". What is refused is as before, so the agreed state is too.

--- a/internal/fleet/agreement/agent_test.go
+++ b/internal/fleet/agreement/agent_test.go
@@ -128,3 +128,15 @@
 	}
 	await(t, voter.loop, "g2 follows the new log", func() bool { return follower.State().Era == voter.State().Era && voter.group.LeaderReady() })
 }
+
+// Guards against "%!w(<nil>)" in a reply to an operator: a gateway with as many proposals under way as it may have says just that.
+func TestTooManyProposalsAreRefusedWithAReason(t *testing.T) {
+	agent := startOnlyVoter(t)
+	var refusal error
+	for range maxPendingProposals + 1 { // none is applied before the loop runs again
+		agent.Propose("rules", "anna", 0, replog.RulesBody{Rules: replog.DefaultRules}, func(_ uint64, err error) { refusal = err })
+	}
+	if refusal == nil || refusal.Error() != "32 proposals are under way" {
+		t.Errorf("refused with %v", refusal)
+	}
+}
--- a/internal/fleet/agreement/logdisk.go
+++ b/internal/fleet/agreement/logdisk.go
@@ -1,6 +1,7 @@
 package agreement
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -34,11 +35,17 @@
 	return disk
 }
 
+var errNoDisk = errors.New("agree: this gateway has no disk for the log")
+
 // persist writes to the log on disk. done is called on the event loop once the whole write is on disk.
 func (a *Agent) persist(write *replog.Write, done func()) {
+	if a.host.Store() == nil {
+		a.abandonLog(errNoDisk)
+		return
+	}
 	id, err := msgpack.Marshal(a.voterID)
-	if err != nil || a.host.Store() == nil {
-		a.abandonLog(fmt.Errorf("agree: this gateway has no disk for the log: %w", err))
+	if err != nil {
+		a.abandonLog(err)
 		return
 	}
 	entries := map[string][]byte{keyID: id}
--- a/internal/fleet/agreement/propose.go
+++ b/internal/fleet/agreement/propose.go
@@ -39,9 +39,13 @@
 	if done == nil {
 		done = func(uint64, error) {}
 	}
+	if len(a.pending) >= maxPendingProposals {
+		done(0, fmt.Errorf("%d proposals are under way", len(a.pending)))
+		return
+	}
 	encoded, err := msgpack.Marshal(body)
-	if err != nil || len(a.pending) >= maxPendingProposals {
-		done(0, fmt.Errorf("%d proposals are under way; %w", len(a.pending), err))
+	if err != nil {
+		done(0, err)
 		return
 	}
 	a.seq++
--- a/internal/fleet/change/apply.go
+++ b/internal/fleet/change/apply.go
@@ -158,8 +158,8 @@
 func (s *State) UpdateStatuses(c Context, all []StatusUpdate) error {
 	var rejected error
 	for _, update := range all {
-		if err := update.Subject.Check(); err != nil || len(s.Subjects) >= 2*4096 {
-			rejected = fmt.Errorf("%d things are known; %w", len(s.Subjects), err)
+		if err := s.checkKnowable(update.Subject); err != nil {
+			rejected = err
 			continue
 		}
 		if update.Forget {
--- a/internal/fleet/change/change_test.go
+++ b/internal/fleet/change/change_test.go
@@ -205,3 +205,15 @@
 		t.Errorf("decoded state differs:\ngot  %+v\nwant %+v", copied, *fleet.state)
 	}
 }
+
+// Guards against "%!w(<nil>)" in the log of operators: beyond the limit on known subjects a status is rejected with just that reason.
+func TestStatusBeyondTheLimitIsRejectedWithAReason(t *testing.T) {
+	s := NewState(DefaultLimits)
+	for i := range maxSubjectsKnown {
+		s.Subjects[NewSubject(Worker, fmt.Sprint("w", i))] = &SubjectStatus{}
+	}
+	err := s.UpdateStatuses(Context{Index: 1}, []StatusUpdate{{Subject: NewSubject(Worker, "one more")}})
+	if err == nil || err.Error() != "8192 things are known" {
+		t.Errorf("rejected with %v", err)
+	}
+}
--- a/internal/fleet/change/permit.go
+++ b/internal/fleet/change/permit.go
@@ -43,10 +43,11 @@
 const (
 	maxPermits         = 1024
 	maxSubjects        = 512 // in one permit or release
-	maxOvertaken       = 8   // how often a permit that waits for a limit of its hall or of only copies may be overtaken
-	maxEnded           = 64  // ended permits that State retains for display
-	requiredWitnesses  = 2   // gateways that must observe a subject as healthy, where there are as many other gateways
-	maxListedWitnesses = 4   // witnesses listed in an entry, so that its size doesn't grow with the fleet
+	maxSubjectsKnown   = 8192
+	maxOvertaken       = 8  // how often a permit that waits for a limit of its hall or of only copies may be overtaken
+	maxEnded           = 64 // ended permits that State retains for display
+	requiredWitnesses  = 2  // gateways that must observe a subject as healthy, where there are as many other gateways
+	maxListedWitnesses = 4  // witnesses listed in an entry, so that its size doesn't grow with the fleet
 )
 
 // EndedPermit is a permit that has ended, and how it ended.
@@ -207,3 +208,11 @@
 	slices.SortFunc(out, func(a, b *Permit) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
+
+// checkKnowable returns an error if no status of a subject can be recorded: it is invalid, or too many subjects are known.
+func (s *State) checkKnowable(subject Subject) error {
+	if len(s.Subjects) >= maxSubjectsKnown {
+		return fmt.Errorf("%d things are known", len(s.Subjects))
+	}
+	return subject.Check()
+}
