Let the store refuse a write by its result, not by a callback on the event loop

What callers would see: a gateway that answers nothing any more.

Cause: store.Write called done at once with ErrFull, on the caller's goroutine. That caller is the event loop, and persist's callback posts to it; Post waits while the mailbox is full, which only the loop could empty.

Change: Write returns ErrFull and never calls done of a refused group; done has no error any more, as it never got another one. The log of a vote that is given up on a full store stays on disk, and a line says so. TestFullDiskKeepsGroupOrderAndBound counts the five refusals as before, and fails if done of one of them is called; the former Write called each of them within the call, as that test counted.

--- a/internal/fleet/agreement/eligibility.go
+++ b/internal/fleet/agreement/eligibility.go
@@ -100,7 +100,9 @@
 		entries[logKey(i)] = nil
 	}
 	a.firstLogIndex, a.lastLogIndex = 1, 0
-	a.host.Store().Write(entries, func(error) {})
+	if err := a.host.Store().Write(entries, func() {}); err != nil {
+		a.log.Warn("the log of the former vote stays on disk", zap.Error(err))
+	}
 	a.host.SaveSoon()
 }
 
--- a/internal/fleet/agreement/logdisk.go
+++ b/internal/fleet/agreement/logdisk.go
@@ -62,18 +62,13 @@
 		}
 	}
 	group := a.group
-	a.host.Store().Write(entries, func(err error) {
+	a.abandonLog(a.host.Store().Write(entries, func() {
 		a.host.Loop().Post(func() {
-			if a.group != group { // abandoned in the meantime
-				return
+			if a.group == group { // not abandoned in the meantime
+				done()
 			}
-			if err != nil {
-				a.abandonLog(err)
-				return
-			}
-			done()
 		})
-	})
+	}))
 }
 
 // logKey returns the key on disk of a log entry.
--- a/internal/fleet/store/commit.go
+++ b/internal/fleet/store/commit.go
@@ -92,7 +92,7 @@
 	}
 	if writeErr == nil {
 		for _, g := range groups {
-			g.done(nil)
+			g.done()
 		}
 	}
 	s.mu.Lock()
--- a/internal/fleet/store/group_test.go
+++ b/internal/fleet/store/group_test.go
@@ -20,14 +20,13 @@
 		if i >= 10 {
 			entries[fmt.Sprintf("%s%03d", LogPrefix, i-10)] = nil
 		}
-		s.Write(entries, func(err error) {
-			if done = append(done, i); err != nil {
-				t.Error(err)
-			}
-			if i == 49 {
+		if err := s.Write(entries, func() {
+			if done = append(done, i); i == 49 {
 				close(over)
 			}
-		})
+		}); err != nil {
+			t.Error(err)
+		}
 	}
 	<-over
 	if len(done) != 50 || !slices.IsSorted(done) {
@@ -50,19 +49,24 @@
 	s := newStore(d)
 	s.retry = time.Millisecond
 	called, over := []string{}, make(chan bool)
-	s.Write(map[string][]byte{"a": []byte("1")}, func(error) { called = append(called, "first") })
+	s.Write(map[string][]byte{"a": []byte("1")}, func() { called = append(called, "first") })
 	go s.run()
 	<-d.writes // the first write blocks
 	refused := 0
 	for i := range maxGroups + 5 {
-		s.Write(map[string][]byte{"a": []byte("2")}, func(err error) {
-			if errors.Is(err, ErrFull) {
-				refused++
-			} else if i == maxGroups-1 {
+		err := s.Write(map[string][]byte{"a": []byte("2")}, func() {
+			if i == maxGroups-1 {
 				called = append(called, "last")
 				close(over)
+			} else if i >= maxGroups {
+				t.Errorf("callback of refused group %d called", i)
 			}
 		})
+		if errors.Is(err, ErrFull) {
+			refused++
+		} else if err != nil {
+			t.Error(err)
+		}
 	}
 	d.gate <- struct{}{} // the first write fails
 	<-d.writes
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -58,10 +58,10 @@
 // group is a set of entries that is written in one transaction.
 type group struct {
 	entries map[string][]byte // a nil value removes the key
-	done    func(error)
+	done    func()
 }
 
-// ErrFull is passed to the callback of a group that is refused since too many groups are pending.
+// ErrFull is the error of a group that is refused since too many groups are pending.
 var ErrFull = errors.New("store: too many groups are waiting to be written")
 
 // LogPrefix is the prefix of the keys of log entries, which have a bucket of their own with a higher limit on keys.
@@ -153,9 +153,9 @@
 
 // Write queues a group of entries, to be written with one sync, after all groups queued before; no entry of a group is skipped
 // for a newer one. A nil value removes a key. done is called on the store's goroutine once the group is on disk, which may be
-// later if the disk fails for a while, and never if the store is closed before. When too many groups are pending, done is
-// called at once with ErrFull.
-func (s *Store) Write(entries map[string][]byte, done func(error)) {
+// later if the disk fails for a while, and never if the store is closed before. When too many groups are pending, Write refuses
+// the group with ErrFull, and done is not called.
+func (s *Store) Write(entries map[string][]byte, done func()) error {
 	s.mu.Lock()
 	full := len(s.groups) >= maxGroups
 	if !full {
@@ -163,13 +163,13 @@
 	}
 	s.mu.Unlock()
 	if full {
-		done(ErrFull)
-		return
+		return ErrFull
 	}
 	select {
 	case s.wake <- struct{}{}:
 	default:
 	}
+	return nil
 }
 
 // Stats returns the counters so far.
