Keep the panic of raft as the reason for which a vote is given up

What operators saw: "replication of the log has failed" with "this gateway has stopped its part of the log", where a message had made raft panic: the panic's text was logged at debug level only (handleRaftMessage), and the next call, at which the vote is given up, knew it no more.

Change: the group keeps the panic, and each later call returns it. TestErrorAfterAPanicNamesItsCause failed before at the next call.

--- a/internal/fleet/replog/group.go
+++ b/internal/fleet/replog/group.go
@@ -1,6 +1,7 @@
 package replog
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 
@@ -33,6 +34,7 @@
 	applied       uint64      // index of the last applied entry
 	compactedTo   uint64      // index up to which entries have been compacted
 	onApplied     func(Applied)
+	stopCause     error  // the panic of raft after which this part of the log has stopped, nil if there was none
 	inCallback    bool   // onApplied is running, in the middle of a call
 	leaderID      uint64 // 0 if unknown
 	leaderContact bool   // a leader was in contact since the last call of TakeLeaderContact
@@ -56,7 +58,7 @@
 func (g *Group) usable() error {
 	switch {
 	case g.node == nil:
-		return errStopped
+		return cmp.Or(g.stopCause, errStopped)
 	case g.inCallback:
 		return ErrInCallback
 	}
@@ -82,7 +84,8 @@
 func (g *Group) recoverPanic(err *error) {
 	if p := recover(); p != nil {
 		g.node = nil
-		*err = fmt.Errorf("agree: raft panicked, this gateway stops its part of the log: %v", p)
+		g.stopCause = fmt.Errorf("agree: raft panicked, this gateway stops its part of the log: %v", p)
+		*err = g.stopCause
 	}
 }
 
