Review case 3: a ban during an upgrade is lost when many bans stand

Looked at: the link between the two processes of an upgrade (internal/lifecycle/upgrade.go, internal/lifecycle/handover).

Adds a case: 84 bans stand from workers that were replaced by hand. A new version is started, and one more worker is left out at the old process while both run. The old process has closed the link, since all bans at once overflow its queue of 64 messages, so the new process never hears of the ban.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -26,13 +26,13 @@
 // A testCase plays a case and returns the ways in which the rule was broken. An error means that the case could not run.
 type testCase func(*setup) (violations []string, err error)
 
-var cases = map[string]testCase{"redelivery": redeliveryAfterUpgrade, "long-answers": longAnswers}
+var cases = map[string]testCase{"redelivery": redeliveryAfterUpgrade, "long-answers": longAnswers, "bans": banDuringUpgrade}
 
 func main() { os.Exit(run()) }
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standins CASE RECORD, with a case of: redelivery, long-answers")
+		fmt.Fprintln(os.Stderr, "usage: standins CASE RECORD, with a case of: redelivery, long-answers, bans")
 		return couldNotRun
 	}
 	s, err := newSetup(os.Args[2])
