--- a/review/standins/case_bans.go
+++ b/review/standins/case_bans.go
@@ -7,7 +7,7 @@
 )
 
 // replacements is how often every worker is replaced by hand before the upgrade.
-const replacements = 6
+const replacements = 8
 
 // banDuringUpgrade has operators replace all workers several times, each being left out by hand first. Then a new version is started, and
 // one more worker is left out at the old process while both run.
--- a/review/standins/case_long_answers.go
+++ b/review/standins/case_long_answers.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	mqttCalls    = 96
-	longEvery    = 16 // one answer in sixteen is long
-	longAnswer   = 180_000
-	shortAnswer  = 200
-	answerGrace  = 500 * time.Millisecond // past the time of a call an answer earns nothing; after this it is missing
-	callsPerSpan = 25 * time.Millisecond
+	mqttCalls   = 96
+	longEvery   = 16 // one answer in sixteen is long
+	longAnswer  = 180_000
+	shortAnswer = 200
+	answerGrace = 500 * time.Millisecond // past the time of a call an answer earns nothing; after this it is missing
+	callSpacing = 25 * time.Millisecond
 )
 
 // longAnswers makes calls by MQTT. One in sixteen of the workers' answers is long.
@@ -52,7 +52,7 @@
 		}
 		console.call(c.name, c.class, fmt.Sprintf("%016x", 0x7f3a0000+n%4+4*(n%longEvery/8)), c.key, c.id, fmt.Appendf(nil, "size %d %s", c.size, c.name))
 		calls = append(calls, c)
-		time.Sleep(callsPerSpan)
+		time.Sleep(callSpacing)
 	}
 	time.Sleep(time.Duration(statusRead.deadline*float64(time.Second)) + answerGrace)
 	answers := map[string]int{}
