Stop a gateway once, whichever timers ask for it

Callers saw: a process that ends after SIGTERM, with a call that is open until the drain limit, panicked (exit code 2); its saved state could be cut off.

Cause: at the drain limit all calls are failed and a timer stops the gateway 100 ms later, while stopAfterClients, which looks every 10 ms, finds nothing open and stops it as well.

Change: stop does nothing when it has been called before.

--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -60,8 +60,9 @@
 	recovers        bool             // the node recovers the state and starts the service: no running process was taken over
 	operatorNet     *sock.Net        // nil if there is no operator listener
 	upgrade         *upgrade         // nil if no new process can take over
-	terminating     bool
-	awaitsSuccessor bool // SIGTERM has come and is delayed once, until a successor can report that it is ready
+	terminating     bool             // SIGTERM has come
+	stopped         bool             // stop has been called
+	awaitsSuccessor bool             // SIGTERM has come and is delayed once, until a successor can report that it is ready
 
 	startedAt     time.Duration    // loop time at the start of this process
 	initialEvents []bulletin.Event // the worker list to begin with, until followList applies it
--- a/internal/lifecycle/shutdown.go
+++ b/internal/lifecycle/shutdown.go
@@ -92,8 +92,13 @@
 	})
 }
 
-// stop fails the calls that are still in flight, closes the sessions that need an orderly end, and then ends the event loop.
+// stop fails the calls that are still in flight, closes the sessions that need an orderly end, and then ends the event loop. Several
+// timers may call it; only the first call counts.
 func (g *Gateway) stop() {
+	if g.stopped {
+		return
+	}
+	g.stopped = true
 	if g.core != nil {
 		g.core.FailAll()
 	}
