Pass the keyed calls of the MQTT front on to a new version, so that none runs again

Cause: keys and answers of the MQTT front were known to one process. handover.State has bans, the module's memory and the agreed state, and the new process began with an empty front. It tells a redelivery by the DUP flag, but a broker forwards what a caller sends again as a new message without it (MQTT 5, 3.3.1.1).

Change: from when the successor is ready the old process passes it all keyed calls that it remembers, 500 an iteration of the loop, and then each that begins or ends. A queue holds the newest state of each key, so what waits is bounded by what is remembered, not by 64 messages. The end of the process waits until all is written, until 0.1 s before SIGKILL can come; only when the link has ended does the new process connect to the broker, so it knows every call before the first can arrive. A call without an outcome is failed when it comes again, since it may have run. Keys name the tenant instead of its number, which may differ in the new settings. The state and its file are unchanged.

TestQueuedCallsArriveBeforeLinkEnds is red if the end does not wait. All with -race.

Open: a planned restart without a successor, and a kill, still forget the keys; a link that breaks takes what it had not passed on.

--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -4,10 +4,10 @@
 
 // Answer is a remembered final answer.
 type Answer struct {
-	Kind       string // served, refused, failed
-	Body       []byte
-	RetryAfter time.Duration // of a refusal
-	Reason     string        // of a failure
+	Kind       string        `json:"kind"` // served, refused, failed
+	Body       []byte        `json:"body,omitempty"`
+	RetryAfter time.Duration `json:"retry_after_ns,omitempty"` // of a refusal
+	Reason     string        `json:"reason,omitempty"`         // of a failure
 }
 
 // Keys remembers the answers of calls by idempotency key, so that a call that is delivered again gets the same answer and does not
@@ -17,8 +17,9 @@
 	retention  time.Duration // longer than the time in which a message may be delivered again
 	entries    map[string]*Entry
 	bytes      int
-	maxEntries int // keys at most
-	maxBytes   int // size of all stored answers at most
+	maxEntries int                  // keys at most
+	maxBytes   int                  // size of all stored answers at most
+	onChange   func(RememberedCall) // called with each key that is opened or closed; nil while nobody follows
 }
 
 // Entry is one key. While its call is in flight, repeated calls wait for the same answer.
@@ -27,6 +28,9 @@
 	Done    bool
 	Answer  Answer
 	waiting []func(Answer)
+	expiry  *Deadline // when the key is forgotten; nil while the call is open
+	size    int       // bytes of the stored answer
+	adopted bool      // the call was made at another process
 }
 
 // NewKeys returns an empty Keys that keeps answers for the time of retention, at most maxEntries keys and maxBytes of answers.
@@ -47,6 +51,7 @@
 	}
 	e := &Entry{Target: target}
 	k.entries[key] = e
+	k.notify(key, e)
 	return e
 }
 
@@ -70,15 +75,8 @@
 	waiting := e.waiting
 	e.waiting = nil
 	if keep {
-		size := len(answer.Body)
-		if k.bytes+size > k.maxBytes {
-			e.Answer, size = Answer{Kind: "failed", Reason: "the answer is no longer held"}, 0
-		}
-		k.bytes += size
-		k.loop.After(k.retention, func() {
-			k.bytes -= size
-			k.remove(key, e)
-		})
+		k.store(key, e, k.retention)
+		k.notify(key, e)
 	} else {
 		k.remove(key, e)
 	}
@@ -87,11 +85,25 @@
 	}
 }
 
+// store keeps the answer of an entry for a time from now on. It replaces one that was stored before.
+func (k *Keys) store(key string, e *Entry, keep time.Duration) {
+	k.bytes -= e.size
+	k.loop.Cancel(e.expiry)
+	e.size = len(e.Answer.Body)
+	if k.bytes+e.size > k.maxBytes {
+		e.Answer, e.size = Answer{Kind: "failed", Reason: "the answer is no longer held"}, 0
+	}
+	k.bytes += e.size
+	e.expiry = k.loop.After(keep, func() { k.remove(key, e) })
+}
+
 // Forget removes a key whose call may be made again because its answer was a refusal, which means that nothing ran.
 func (k *Keys) Forget(key string, e *Entry) { k.remove(key, e) }
 
 func (k *Keys) remove(key string, e *Entry) {
 	if k.entries[key] == e {
 		delete(k.entries, key)
+		k.bytes -= e.size
+		k.loop.Cancel(e.expiry)
 	}
 }
--- a/internal/lifecycle/handover/link.go
+++ b/internal/lifecycle/handover/link.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"quillrail/internal/core"
 	"quillrail/internal/roster"
 )
 
@@ -19,11 +20,12 @@
 
 // message is the content of one frame on the link. A frame is a length of four bytes in big-endian order, followed by JSON.
 type message struct {
-	Kind     string      `json:"kind"` // one of hello, state, no, ready, ban, call back
-	Identity *Identity   `json:"who,omitempty"`
-	State    *State      `json:"state,omitempty"`
-	Ban      *roster.Ban `json:"ban,omitempty"`
-	Why      string      `json:"why,omitempty"`
+	Kind     string                `json:"kind"` // one of hello, state, no, ready, ban, call back, calls
+	Identity *Identity             `json:"who,omitempty"`
+	State    *State                `json:"state,omitempty"`
+	Ban      *roster.Ban           `json:"ban,omitempty"`
+	Calls    []core.RememberedCall `json:"calls,omitempty"`
+	Why      string                `json:"why,omitempty"`
 }
 
 func encodeFrame(m message) ([]byte, error) {
--- a/internal/lifecycle/handover/peer.go
+++ b/internal/lifecycle/handover/peer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"quillrail/internal/core"
 	"quillrail/internal/roster"
 )
 
@@ -12,6 +13,7 @@
 type Handler interface {
 	Ban(roster.Ban)                      // an operator has banned a worker at the other process
 	Unban(id string)                     // an operator has lifted the ban of a worker there
+	Calls([]core.RememberedCall)         // the predecessor remembers these calls
 	PeerReady(p *Peer)                   // the successor is ready to serve
 	PeerGone(p *Peer)                    // the other process has ended or has stopped responding
 	Offer() (net.Listener, State, error) // the socket and state for a successor; the text of an error is sent to it as the reason of a refusal
@@ -22,15 +24,32 @@
 type Peer struct {
 	conn      *net.UnixConn
 	outgoing  chan []byte
+	calls     callQueue
+	finish    chan struct{} // closed when nothing more is sent
+	flushed   chan struct{} // closed when all has been written since then
 	closeOnce sync.Once
 	closed    chan struct{}
 }
 
 func newPeer(conn *net.UnixConn) *Peer {
-	return &Peer{conn: conn, outgoing: make(chan []byte, sendQueueLength), closed: make(chan struct{})}
+	return &Peer{conn: conn, outgoing: make(chan []byte, sendQueueLength), calls: newCallQueue(), finish: make(chan struct{}),
+		flushed: make(chan struct{}), closed: make(chan struct{})}
 }
 
-// Close closes the link. It may be called more than once.
+// Finish writes what is queued and then closes the link. It blocks until then, for limit at most. Nothing may be sent after it.
+func (p *Peer) Finish(limit time.Duration) {
+	close(p.finish)
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-p.flushed:
+	case <-p.closed:
+	case <-timer.C:
+	}
+	p.Close()
+}
+
+// Close closes the link without waiting for what is queued. It may be called more than once.
 func (p *Peer) Close() {
 	p.closeOnce.Do(func() {
 		close(p.closed)
@@ -61,22 +80,12 @@
 // Unban notifies the peer that an operator has lifted the ban of a worker at this process.
 func (p *Peer) Unban(id string) { p.send(message{Kind: "call back", Ban: &roster.Ban{ID: id}}) }
 
+// Calls passes remembered calls to the successor. It never blocks.
+func (p *Peer) Calls(calls []core.RememberedCall) { p.calls.add(calls) }
+
 // run sends queued messages and passes received ones to the handler until the link is closed.
 func (p *Peer) run(handler Handler) {
-	go func() {
-		for {
-			select {
-			case b := <-p.outgoing:
-				p.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-				if _, err := p.conn.Write(b); err != nil {
-					p.Close()
-					return
-				}
-			case <-p.closed:
-				return
-			}
-		}
-	}()
+	go p.writeQueued()
 	for {
 		m, err := readMessage(p.conn)
 		if err != nil {
@@ -89,6 +98,8 @@
 			handler.Ban(*m.Ban)
 		case m.Kind == "call back" && m.Ban != nil && m.Ban.Check() == nil:
 			handler.Unban(m.Ban.ID)
+		case m.Kind == "calls":
+			handler.Calls(m.Calls)
 		default: // unknown kinds are ignored: a later version may send more of them
 		}
 	}
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -61,6 +61,7 @@
 	operatorNet     *sock.Net        // nil if there is no operator listener
 	upgrade         *upgrade         // nil if no new process can take over
 	terminating     bool             // SIGTERM has come
+	terminatedAt    time.Duration    // loop time at SIGTERM
 	stopped         bool             // stop has been called
 	awaitsSuccessor bool             // SIGTERM has come and is delayed once, until a successor can report that it is ready
 
--- a/internal/lifecycle/shutdown.go
+++ b/internal/lifecycle/shutdown.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"quillrail/internal/lifecycle/handover"
 )
 
 // drainLimit returns how long after SIGTERM calls in flight may still be answered. The platform may send SIGKILL callWindow after the
@@ -29,7 +31,7 @@
 		g.loop.After(successorReadyWait, g.drain)
 		return
 	}
-	g.terminating = true
+	g.terminating, g.terminatedAt = true, g.loop.Now()
 	if g.core == nil { // the core is not built yet, so no call has been served
 		g.log.Info("stopping before the gateway served any call")
 		g.stop()
@@ -126,8 +128,36 @@
 
 // exit closes the links to other processes of the gateway and ends the event loop, and with it the process.
 func (g *Gateway) exit() {
-	if g.upgrade != nil {
-		g.upgrade.closeLinks()
+	if g.upgrade == nil {
+		g.done()
+		return
+	}
+	g.upgrade.closeLinks(g.flushLimit(), g.done)
+}
+
+// closeLinks writes what is queued for the other process and closes the link to it, which then has the gateway to itself. It calls done
+// on the event loop when that has happened, after limit at the latest.
+func (u *upgrade) closeLinks(limit time.Duration, done func()) {
+	var links []*handover.Peer
+	for _, p := range []*handover.Peer{u.predecessor, u.successor} {
+		if p != nil {
+			links = append(links, p)
+		}
+	}
+	if len(links) == 0 {
+		done()
+		return
 	}
-	g.done()
+	go func() {
+		for _, p := range links {
+			p.Finish(limit)
+		}
+		u.gateway.loop.Post(done)
+	}()
+}
+
+// flushLimit returns how long the messages for another process may still be written before this one ends, which it does ahead of the
+// platform's SIGKILL.
+func (g *Gateway) flushLimit() time.Duration {
+	return max(flushDelay, g.terminatedAt+g.drainLimit()+drainMargin-flushDelay-g.loop.Now())
 }
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -27,8 +27,9 @@
 	listening      bool             // a goroutine is creating the server
 	predecessor    *handover.Peer   // nil once the predecessor has ended
 	successor      *handover.Peer
-	successorReady bool         // the successor has reported that it is ready to serve
-	offeredRoster  roster.Saved // the roster that was last offered to a successor
+	successorReady bool          // the successor has reported that it is ready to serve
+	offeredRoster  roster.Saved  // the roster that was last offered to a successor
+	callTransfer   *callTransfer // to the successor; nil without one that is ready, and without an MQTT front
 	ended          bool
 }
 
@@ -181,6 +182,7 @@
 	u.gateway.loop.PostUrgent(func() {
 		if u.successor == p {
 			u.successorReady = true
+			u.beginCallTransfer(p)
 			u.gateway.log.Info("the new process is ready")
 		}
 	})
@@ -192,13 +194,14 @@
 		switch p {
 		case u.predecessor:
 			u.predecessor = nil
-			u.gateway.log.Info("the old process has ended")
+			u.logPredecessorEnded()
 			if u.gateway.node != nil && !u.gateway.terminating {
 				u.gateway.joinFleet(true)
 			}
 			u.gateway.connectBrokers()
 		case u.successor:
 			u.successor, u.successorReady = nil, false
+			u.abandonCallTransfer()
 			u.gateway.log.Warn("the new process has gone")
 			if u.gateway.agreement != nil {
 				u.gateway.agreement.StepFailed("the new process has gone")
@@ -231,17 +234,9 @@
 // stop closes the server and writes the last state, since the event loop is about to end.
 func (u *upgrade) stop() {
 	u.ended = true
+	u.finishCallTransfer()
 	if u.server != nil {
 		u.server.Close()
 	}
 	u.saver.Close()
 }
-
-// closeLinks closes the link to the other process, which then has the gateway to itself.
-func (u *upgrade) closeLinks() {
-	for _, p := range []*handover.Peer{u.predecessor, u.successor} {
-		if p != nil {
-			p.Close()
-		}
-	}
-}
--- a/internal/wire/mqtt/front.go
+++ b/internal/wire/mqtt/front.go
@@ -99,13 +99,7 @@
 		return
 	}
 	keyed := f.site.Decide.Classes[call.Class].Effect != decide.Safe
-	key, target := "", call.ClassName+" "+call.Function
-	switch {
-	case call.Key != "":
-		key = "k " + strconv.Itoa(call.Tenant) + " " + call.Key
-	case d.responseTopic != "" && d.correlation != nil:
-		key = "c " + d.responseTopic + "\x00" + string(d.correlation)
-	}
+	key, target := f.keyOf(&call, d), call.ClassName+" "+call.Function
 	keys := f.safeCalls
 	if keyed {
 		keys = f.keyedCalls
@@ -163,6 +157,20 @@
 	f.core.Submit(call)
 }
 
+// keyOf returns the name under which a call is remembered, empty if it has none. It is the same at the next process, which may number
+// tenants otherwise.
+func (f *Front) keyOf(call *core.Call, d *delivery) string {
+	switch {
+	case call.Key != "" && len(f.site.Tenants) > 0:
+		return "k " + f.site.Tenants[call.Tenant] + "\x00" + call.Key
+	case call.Key != "":
+		return "k \x00" + call.Key
+	case d.responseTopic != "" && d.correlation != nil:
+		return "c " + d.responseTopic + "\x00" + string(d.correlation)
+	}
+	return ""
+}
+
 // parseCall reads a call from a message.
 func (f *Front) parseCall(p *Packet) (core.Call, error) {
 	props := &p.Props
