Give a call by MQTT an outcome however long its answer is

Log: "outcome not published", six times "message of 180059 bytes exceeds the broker's limit of 65536".

Cause: Session.handleConnack began with maxPacket, the size that the gateway itself accepts, as the broker's limit, and a broker that names none kept it. Session.sendQueued dropped what was longer, and delivery.answer logged that and published nothing else, so a broker with a limit of its own would have lost these calls as well. Ruled out: the caller's session, the broker (it names no limit) and the workers (each answered OK).

Change: the broker's limit is the one that it names, else that of the format. For an answer that does not fit, a failure is published that says that the call ran and its answer is too long. The limit of what the gateway accepts stays.

The broker of the tests can name a limit now and reads packets of any size.

--- a/internal/wire/mqtt/broker_test.go
+++ b/internal/wire/mqtt/broker_test.go
@@ -15,6 +15,7 @@
 	retained       map[string]*Packet
 	dropAcks       bool      // ignores PUBACKs of clients, as if they were lost
 	skippedSession string    // id of a session to which nothing is published
+	maxPacket      uint32    // limit that it names to clients, in bytes, 0 for none
 	published      []*Packet // every PUBLISH from a client, including those with the DUP flag
 	connects       int
 	pubacks        []string // "puback" and the client's id for each PUBACK received, in order
@@ -46,7 +47,9 @@
 	return &broker{sessions: map[string]*clientSession{}, retained: map[string]*Packet{}}
 }
 
-func (b *broker) accept(c sock.Conn) sock.Handler { return &clientConn{broker: b, conn: c} }
+func (b *broker) accept(c sock.Conn) sock.Handler {
+	return &clientConn{broker: b, conn: c, parser: Parser{MaxPacket: maxFormatPacket}}
+}
 
 func (c *clientConn) Data(data []byte) error { return c.parser.Feed(data, c.packet) }
 
@@ -85,7 +88,7 @@
 		if present {
 			ack[0] = 1
 		}
-		c.conn.Write(Append(nil, Connack, 0, AppendProps(ack, &Props{ReceiveMax: 10})))
+		c.conn.Write(Append(nil, Connack, 0, AppendProps(ack, &Props{ReceiveMax: 10, MaxPacket: b.maxPacket})))
 		for _, d := range s.unacked {
 			d.dup = true
 			b.send(s, d)
--- a/internal/wire/mqtt/connection.go
+++ b/internal/wire/mqtt/connection.go
@@ -120,7 +120,7 @@
 	if p.Reasons[0] >= firstFailure {
 		return fmt.Errorf("broker refused the session: %#x %s", p.Reasons[0], p.Props.Reason)
 	}
-	s.maxInFlight, s.maxPacketSize = sendWindow, maxPacket
+	s.maxInFlight, s.maxPacketSize = sendWindow, maxFormatPacket
 	if n := int(p.Props.ReceiveMax); n > 0 {
 		s.maxInFlight = min(s.maxInFlight, n)
 	}
--- a/internal/wire/mqtt/decode.go
+++ b/internal/wire/mqtt/decode.go
@@ -9,8 +9,9 @@
 
 // Parser splits a stream of bytes into packets. After an error it accepts no more input.
 type Parser struct {
-	buf []byte
-	err error
+	MaxPacket int // bytes; longer packets are malformed. 0 stands for maxPacket
+	buf       []byte
+	err       error
 }
 
 // Feed takes the next bytes and calls emit for every whole packet.
@@ -18,6 +19,10 @@
 	if p.err != nil {
 		return p.err
 	}
+	limit := p.MaxPacket
+	if limit == 0 {
+		limit = maxPacket
+	}
 	p.buf = append(p.buf, b...)
 	rest := p.buf
 	for p.err == nil && len(rest) >= 2 {
@@ -25,7 +30,7 @@
 		if n == 0 && len(rest) < 5 {
 			break
 		}
-		if n <= 0 || length > maxPacket || n > 1 && rest[n] == 0 {
+		if n <= 0 || length > uint64(limit) || n > 1 && rest[n] == 0 {
 			p.err = malformed("length")
 			break
 		}
--- a/internal/wire/mqtt/delivery.go
+++ b/internal/wire/mqtt/delivery.go
@@ -1,6 +1,7 @@
 package mqtt
 
 import (
+	"errors"
 	"strconv"
 	"time"
 
@@ -9,6 +10,9 @@
 	"quillrail/internal/core"
 )
 
+// answerTooLong is the reason of a failure that takes the place of an answer: the call has run.
+const answerTooLong = "the call ran, and its answer is too long for the broker"
+
 // delivery is one message with a call. Several deliveries may carry the same call.
 type delivery struct {
 	front         *Front
@@ -28,29 +32,42 @@
 // answer publishes the outcome, and acknowledges the call unless that has been done.
 func (d *delivery) answer(a core.Answer) {
 	if d.responseTopic != "" {
-		m := Message{Topic: d.responseTopic, Payload: a.Body}
-		m.Props = Props{Correlation: d.correlation, Expiry: uint32(replyExpiry / time.Second), HasExpiry: true,
-			User: []Pair{{"outcome", a.Kind}}}
-		if a.Kind == refused {
-			m.Props.User = append(m.Props.User, Pair{"retry-after-ms", strconv.FormatInt(a.RetryAfter.Milliseconds(), 10)})
-		}
-		if a.Reason != "" {
-			m.Props.User = append(m.Props.User, Pair{"reason", a.Reason})
-		}
-		d.front.session.Publish(m, func(reason byte, err error) {
-			switch {
-			case err != nil:
-				d.front.log.Warn("outcome not published", zap.String("topic", d.responseTopic), zap.Error(err))
-			case reason == NoSubscribers:
-				d.front.log.Info("outcome reached nobody", zap.String("topic", d.responseTopic))
-			case reason >= firstFailure:
-				d.front.log.Warn("outcome refused by the broker", zap.String("topic", d.responseTopic), zap.Uint8("reason", reason))
-			}
-		})
+		d.publish(a)
 	}
 	d.ack()
 }
 
+// publish publishes an outcome. If the broker does not take a message of its size, a failure without the answer is published in its place.
+func (d *delivery) publish(a core.Answer) {
+	log := d.front.log.With(zap.String("topic", d.responseTopic))
+	d.front.session.Publish(d.message(a), func(reason byte, err error) {
+		switch {
+		case errors.Is(err, errTooLong) && len(a.Body) > 0:
+			log.Warn("answer not published, its call is failed", zap.Error(err))
+			d.publish(core.Answer{Kind: failed, Reason: answerTooLong})
+		case err != nil:
+			log.Warn("outcome not published", zap.Error(err))
+		case reason == NoSubscribers:
+			log.Info("outcome reached nobody")
+		case reason >= firstFailure:
+			log.Warn("outcome refused by the broker", zap.Uint8("reason", reason))
+		}
+	})
+}
+
+func (d *delivery) message(a core.Answer) Message {
+	m := Message{Topic: d.responseTopic, Payload: a.Body}
+	m.Props = Props{Correlation: d.correlation, Expiry: uint32(replyExpiry / time.Second), HasExpiry: true,
+		User: []Pair{{"outcome", a.Kind}}}
+	if a.Kind == refused {
+		m.Props.User = append(m.Props.User, Pair{"retry-after-ms", strconv.FormatInt(a.RetryAfter.Milliseconds(), 10)})
+	}
+	if a.Reason != "" {
+		m.Props.User = append(m.Props.User, Pair{"reason", a.Reason})
+	}
+	return m
+}
+
 // exchange takes the answer of one call from the core.
 type exchange struct {
 	keys     *core.Keys
--- a/internal/wire/mqtt/gateway_test.go
+++ b/internal/wire/mqtt/gateway_test.go
@@ -48,7 +48,7 @@
 func (client *brokerClient) Closed(error) { client.conn = nil }
 
 func (g *testGateway) connectClient(b *broker, id string, onPublish func(*Packet), filters ...string) *brokerClient {
-	client := &brokerClient{}
+	client := &brokerClient{parser: Parser{MaxPacket: maxFormatPacket}}
 	client.onPublish = func(p *Packet) {
 		if p.Type == Publish {
 			if p.ID > 0 {
--- a/internal/wire/mqtt/packet.go
+++ b/internal/wire/mqtt/packet.go
@@ -44,8 +44,10 @@
 	propMaxPacket       = 0x27
 )
 
-// maxPacket is the largest packet that is accepted, in bytes. It is sent to the broker in CONNECT.
-const maxPacket = 64 << 10
+const (
+	maxPacket       = 64 << 10            // bytes; a session accepts packets of this size and tells the broker so in CONNECT
+	maxFormatPacket = 1 + 4 + (1<<28 - 1) // bytes; the largest packet that the format has, which a broker takes that names no limit
+)
 
 // Pair is one user property.
 type Pair struct{ Name, Value string }
--- a/internal/wire/mqtt/publish.go
+++ b/internal/wire/mqtt/publish.go
@@ -91,7 +91,7 @@
 		if len(b) > s.maxPacketSize {
 			s.remove(s.sent)
 			s.loop.After(0, func() {
-				pending.done(0, fmt.Errorf("message of %d bytes exceeds the broker's limit of %d", len(b), s.maxPacketSize))
+				pending.done(0, fmt.Errorf("%w: %d bytes, at most %d are taken", errTooLong, len(b), s.maxPacketSize))
 			})
 			continue
 		}
--- a/internal/wire/mqtt/session.go
+++ b/internal/wire/mqtt/session.go
@@ -31,11 +31,12 @@
 }
 
 // Errors with which a message ends: errLost if its connection was lost, errFull if the queue has no room for it, errExpired if it
-// was no longer useful when it could have been sent.
+// was no longer useful when it could have been sent, errTooLong if the broker takes no packet of its size.
 var (
 	errLost    = errors.New("connection lost")
 	errFull    = errors.New("message queue is full")
 	errExpired = errors.New("message expired before it could be sent")
+	errTooLong = errors.New("message exceeds the broker's limit")
 )
 
 // Session is a client's session with a broker. It reconnects after each loss. It is used on the event loop only.
@@ -59,7 +60,7 @@
 	lostAt        time.Duration // when the broker was lost; 0 while it is not
 	out           []byte        // packets to be written by Flush
 	maxInFlight   int           // limit of sent: sendWindow, or less if CONNACK states a lower one; 0 before CONNACK
-	maxPacketSize int
+	maxPacketSize int           // bytes of a packet that the broker takes at most
 	packetID      uint16
 	queue         []*Pending // in order: first those sent, then those to be sent
 	sent          int        // how many messages of the queue have been sent on this connection
