Accept long answers of workers that are reached by MQTT

Callers saw: a call whose answer is longer than 64 KiB ran at such a worker and was failed at the end of its time; at a worker with a direct connection it was served.

Cause: Session.opened announced one limit for incoming packets, 64 KiB, which suits the calls of the other session (bodies of 16 KiB). A broker discards a longer answer and counts it as sent, so nobody learns of it.

Change: the size is an option of the session, and the workers' session takes answers of 256 KiB, as direct connections do.

Result: TestLongAnswerOfMQTTWorkerIsReceived, one answer of 230,000 bytes: "failed" without the change, "served" with it. The broker of the tests keeps to the limit that its client announces now.

--- a/internal/wire/mqtt/broker_test.go
+++ b/internal/wire/mqtt/broker_test.go
@@ -41,6 +41,7 @@
 	conn    sock.Conn
 	parser  Parser
 	session *clientSession
+	accepts int // bytes of a packet, as the client said in CONNECT
 }
 
 func newBroker() *broker {
@@ -83,7 +84,10 @@
 		if s.conn != nil {
 			s.conn.conn.Close()
 		}
-		s.conn, c.session = c, s
+		s.conn, c.session, c.accepts = c, s, maxFormatPacket
+		if props.MaxPacket > 0 {
+			c.accepts = int(props.MaxPacket)
+		}
 		ack := []byte{0, Success}
 		if present {
 			ack[0] = 1
@@ -155,7 +159,12 @@
 		flags = 8
 	}
 	d.conn = s.conn
-	s.conn.conn.Write(AppendPublish(nil, &d.message, d.id, flags))
+	packet := AppendPublish(nil, &d.message, d.id, flags)
+	if len(packet) > s.conn.accepts { // it counts as sent (MQTT 5, 3.1.2.11.4)
+		s.unacked = slices.DeleteFunc(s.unacked, func(other *outMessage) bool { return other == d })
+		return
+	}
+	s.conn.conn.Write(packet)
 }
 
 // redeliver sends a client again what it has not acknowledged, on its present connection.
--- a/internal/wire/mqtt/connection.go
+++ b/internal/wire/mqtt/connection.go
@@ -75,7 +75,7 @@
 		return
 	}
 	s.conn = c
-	p := &Props{ReceiveMax: receiveMax, MaxPacket: maxPacket}
+	p := &Props{ReceiveMax: receiveMax, MaxPacket: uint32(s.opts.MaxPacket)}
 	if !s.opts.CleanStart {
 		p.SessionExpiry = uint32(s.opts.SessionExpiry / time.Second)
 	}
--- a/internal/wire/mqtt/gateway_test.go
+++ b/internal/wire/mqtt/gateway_test.go
@@ -31,6 +31,7 @@
 	worker         *brokerClient
 	ranAt          map[string]time.Duration // last execution, by key
 	site           *settings.Site
+	workerAnswer   []byte             // body of the worker's answers
 	workerSilent   bool               // the worker runs calls but does not answer
 	byKey          map[string]*Packet // last message that the worker got, by key
 }
@@ -69,7 +70,8 @@
 
 func newTestGatewayAt(t testing.TB, site *settings.Site) *testGateway {
 	g := &testGateway{World: wiretest.New(t), site: site, callBroker: newBroker(), workerBroker: newBroker(), runs: map[string]int{},
-		ranAt: map[string]time.Duration{}, records: map[string][]string{}, perIncarnation: map[string]int{}, byKey: map[string]*Packet{}}
+		ranAt: map[string]time.Duration{}, records: map[string][]string{}, perIncarnation: map[string]int{}, byKey: map[string]*Packet{},
+		workerAnswer: []byte("did it")}
 	g.Listen("calls", func(c *wiretest.Conn) sock.Handler { return g.callBroker.accept(c) })
 	g.Listen("jobs", func(c *wiretest.Conn) sock.Handler { return g.workerBroker.accept(c) })
 	g.client = g.connectClient(g.callBroker, "client", func(p *Packet) {
@@ -103,7 +105,7 @@
 
 func (g *testGateway) replyAsWorker(p *Packet, outcome string) {
 	g.worker.lastID++
-	g.worker.conn.Write(AppendPublish(nil, &Message{Topic: p.Props.ResponseTopic, Payload: []byte("did it"),
+	g.worker.conn.Write(AppendPublish(nil, &Message{Topic: p.Props.ResponseTopic, Payload: g.workerAnswer,
 		Props: Props{Correlation: p.Props.Correlation, User: []Pair{{"outcome", outcome}, {"detail", "warm"}}}}, g.worker.lastID, 0))
 }
 
--- a/internal/wire/mqtt/link.go
+++ b/internal/wire/mqtt/link.go
@@ -15,6 +15,9 @@
 	"quillrail/internal/wire/sock"
 )
 
+// maxAnswer is the size of a worker's answer, in bytes, that is taken at least; the same as over a direct connection.
+const maxAnswer = 256 << 10
+
 // Prefix begins the names of workers that are reached by MQTT.
 const Prefix = "mqtt-"
 
@@ -56,7 +59,7 @@
 	l := &Link{loop: loop, log: log, onMembers: onMembers, replyTopic: replyTopic, workers: map[string]*Worker{},
 		incarnation: binary.BigEndian.AppendUint64(nil, seed), states: map[string]decide.HostState{},
 		startedAt: map[string]time.Duration{}, inFlight: map[core.Ref]*inFlightAttempt{}}
-	opts.CleanStart, opts.Subscribe = true, []string{replyTopic}
+	opts.CleanStart, opts.Subscribe, opts.MaxPacket = true, []string{replyTopic}, maxAnswer+maxPacket
 	for _, w := range workers {
 		l.workers[w.Name] = &w
 		opts.Subscribe = append(opts.Subscribe, w.StatusTopic)
--- a/internal/wire/mqtt/long_answers_test.go
+++ b/internal/wire/mqtt/long_answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"quillrail/internal/core"
 )
@@ -47,3 +48,14 @@
 		}
 	}
 }
+
+// A long answer of a worker that is reached by MQTT must reach the caller. A broker discards what is longer than the gateway accepts, so
+// that the call would run and fail.
+func TestLongAnswerOfMQTTWorkerIsReceived(t *testing.T) {
+	gw := newTestGateway(t)
+	gw.workerAnswer = make([]byte, longAnswerBytes)
+	gw.publish("command", "k1", "c1", 3)
+	gw.Advance(4 * time.Second)
+	gw.wantRecords("outcome c1", "served")
+	gw.wantRuns("k1", 1)
+}
--- a/internal/wire/mqtt/packet.go
+++ b/internal/wire/mqtt/packet.go
@@ -45,7 +45,7 @@
 )
 
 const (
-	maxPacket       = 64 << 10            // bytes; a session accepts packets of this size and tells the broker so in CONNECT
+	maxPacket       = 64 << 10            // bytes; a session accepts packets of this size, unless its options say otherwise
 	maxFormatPacket = 1 + 4 + (1<<28 - 1) // bytes; the largest packet that the format has, which a broker takes that names no limit
 )
 
--- a/internal/wire/mqtt/session.go
+++ b/internal/wire/mqtt/session.go
@@ -28,6 +28,7 @@
 	CleanStart    bool          // start a new session with each connection: messages not acknowledged are given up, not sent again
 	SessionExpiry time.Duration // how long the broker stores a session that is not clean
 	KeepAlive     time.Duration
+	MaxPacket     int // bytes of a packet that is accepted at most, as the broker is told in CONNECT; 0 stands for maxPacket
 }
 
 // Errors with which a message ends: errLost if its connection was lost, errFull if the queue has no room for it, errExpired if it
@@ -84,6 +85,9 @@
 // NewSession returns a session that passes messages to onPublish and changes of Up to onState.
 func NewSession(loop *core.Loop, dialer sock.Dialer, opts Options, onPublish func(*Packet, Receipt), onState func(bool),
 	log *zap.Logger) *Session {
+	if opts.MaxPacket == 0 {
+		opts.MaxPacket = maxPacket
+	}
 	return &Session{loop: loop, dialer: dialer, opts: opts, log: log, onPublish: onPublish, onState: onState, backoff: minBackoff}
 }
 
@@ -95,7 +99,7 @@
 	s.connSeq++
 	connSeq := s.connSeq
 	s.watchdog = s.loop.After(connectTimeout, func() { s.fail(connSeq, errors.New("connect timed out")) })
-	s.dialer.Dial(s.opts.Broker, connectTimeout, &connHandler{session: s, connSeq: connSeq}, func(c sock.Conn, err error) {
+	s.dialer.Dial(s.opts.Broker, connectTimeout, &connHandler{session: s, connSeq: connSeq, parser: Parser{MaxPacket: s.opts.MaxPacket}}, func(c sock.Conn, err error) {
 		s.loop.Post(func() { s.opened(connSeq, c, err) })
 	})
 }
