Refuse calls by MQTT before the queue of outcomes is full, and drop no outcome

Callers saw: with a broker that reads slowly, calls by MQTT that were acknowledged and ran had no outcome. Not seen in service. Since long answers are published now, 36 of them fill the queue of 8 MB, where only short ones did before.

Cause: Session.Publish ends a message with errFull when 2,048 messages or 8 MB wait, and nothing held the broker back, since keyed calls are acknowledged before they run.

Change: the front counts the outcomes that it owes. When the queue has no room for these and one more, or for one more long answer, a call is refused and acknowledged only when the broker has taken the refusal, so that its Receive Maximum (64) holds it back. The refusal is remembered, so a redelivery after a lost connection is refused as well. An answer that finds no room all the same, as its call was open before, is replaced by a failure; 1 MB is kept for messages without a payload. A call of QoS 0, which cannot be held back, is dropped. The correlation data counts as part of a message's size now.

Result: TestSlowBrokerGetsAllOutcomes, 3,072 calls with short answers: on call 2,048 was the first without an outcome; now 3,008 served, 64 refused. 300 with answers of 230,000 bytes: each has one outcome.

--- a/internal/wire/mqtt/delivery.go
+++ b/internal/wire/mqtt/delivery.go
@@ -10,8 +10,11 @@
 	"quillrail/internal/core"
 )
 
-// answerTooLong is the reason of a failure that takes the place of an answer: the call has run.
-const answerTooLong = "the call ran, and its answer is too long for the broker"
+// Reasons of a failure that takes the place of an answer: the call has run.
+const (
+	answerTooLong   = "the call ran, and its answer is too long for the broker"
+	answerDiscarded = "the call ran, and too many answers wait for the broker"
+)
 
 // delivery is one message with a call. Several deliveries may carry the same call.
 type delivery struct {
@@ -20,6 +23,7 @@
 	correlation   []byte
 	receipt       Receipt
 	acked         bool
+	ackLast       bool // the call is acknowledged when the broker has its outcome, so that fewer calls come than outcomes go
 }
 
 func (d *delivery) ack() {
@@ -31,30 +35,51 @@
 
 // answer publishes the outcome, and acknowledges the call unless that has been done.
 func (d *delivery) answer(a core.Answer) {
+	d.front.owed--
 	if d.responseTopic != "" {
 		d.publish(a)
 	}
-	d.ack()
+	if d.responseTopic == "" || !d.ackLast {
+		d.ack()
+	}
 }
 
-// publish publishes an outcome. If the broker does not take a message of its size, a failure without the answer is published in its place.
+// publish publishes an outcome. If there is no room for its answer, here or at the broker, a failure is published in its place.
 func (d *delivery) publish(a core.Answer) {
-	log := d.front.log.With(zap.String("topic", d.responseTopic))
 	d.front.session.Publish(d.message(a), func(reason byte, err error) {
-		switch {
-		case errors.Is(err, errTooLong) && len(a.Body) > 0:
-			log.Warn("answer not published, its call is failed", zap.Error(err))
-			d.publish(core.Answer{Kind: failed, Reason: answerTooLong})
-		case err != nil:
-			log.Warn("outcome not published", zap.Error(err))
-		case reason == NoSubscribers:
-			log.Info("outcome reached nobody")
-		case reason >= firstFailure:
-			log.Warn("outcome refused by the broker", zap.Uint8("reason", reason))
+		if why := replacement(err); why != "" && len(a.Body) > 0 {
+			d.front.log.Warn("answer not published, its call is failed", zap.String("topic", d.responseTopic), zap.Error(err))
+			d.publish(core.Answer{Kind: failed, Reason: why})
+			return
 		}
+		d.logPublished(reason, err)
+		d.ack()
 	})
 }
 
+// replacement returns the reason of the failure that takes the place of an answer which ended with err, empty if none does.
+func replacement(err error) string {
+	switch {
+	case errors.Is(err, errTooLong):
+		return answerTooLong
+	case errors.Is(err, errFull):
+		return answerDiscarded
+	}
+	return ""
+}
+
+func (d *delivery) logPublished(reason byte, err error) {
+	log := d.front.log.With(zap.String("topic", d.responseTopic))
+	switch {
+	case err != nil:
+		log.Warn("outcome not published", zap.Error(err))
+	case reason == NoSubscribers:
+		log.Info("outcome reached nobody")
+	case reason >= firstFailure:
+		log.Warn("outcome refused by the broker", zap.Uint8("reason", reason))
+	}
+}
+
 func (d *delivery) message(a core.Answer) Message {
 	m := Message{Topic: d.responseTopic, Payload: a.Body}
 	m.Props = Props{Correlation: d.correlation, Expiry: uint32(replyExpiry / time.Second), HasExpiry: true,
--- a/internal/wire/mqtt/front.go
+++ b/internal/wire/mqtt/front.go
@@ -51,11 +51,15 @@
 	keyedCalls *core.Keys // keyed calls; their keys are never forgotten early
 	safeCalls  *core.Keys // safe calls, which may run again if there is no room to remember them
 	rng        *rand.Rand
+	owed       int  // deliveries that have no outcome yet
 	draining   bool // calls are refused
 }
 
-// drainRetryAfter is the time to wait that is sent to callers refused while draining.
-const drainRetryAfter = time.Second
+// Times to wait that are sent to callers who are refused while draining, and while too many outcomes wait for the broker.
+const (
+	drainRetryAfter   = time.Second
+	crowdedRetryAfter = time.Second
+)
 
 // Drain refuses new calls from now on, until Resume. Calls in flight continue, and known calls are answered as before.
 func (f *Front) Drain() { f.draining = true }
@@ -91,7 +95,9 @@
 func (f *Front) Waiting() int { return f.session.Waiting() }
 
 func (f *Front) receive(p *Packet, receipt Receipt) {
-	d := &delivery{front: f, responseTopic: p.Props.ResponseTopic, correlation: p.Props.Correlation, receipt: receipt}
+	d := &delivery{front: f, responseTopic: p.Props.ResponseTopic, correlation: p.Props.Correlation, receipt: receipt,
+		ackLast: f.session.Crowded(f.owed)}
+	f.owed++
 	call, err := f.parseCall(p)
 	if err != nil {
 		f.log.Info("bad call", zap.String("topic", p.Topic), zap.Error(err))
@@ -115,7 +121,7 @@
 	}
 	if entry != nil {
 		f.log.Info("call delivered again", zap.String("key", call.Key), zap.Bool("open", !entry.Done))
-		if keyed {
+		if keyed && !d.ackLast {
 			d.ack()
 		}
 		entry.Join(d.answer)
@@ -126,6 +132,12 @@
 		d.answer(core.Answer{Kind: refused, RetryAfter: drainRetryAfter})
 		return
 	}
+	if d.ackLast && p.QoS() == 0 { // nothing would hold the broker back
+		f.log.Warn("too many outcomes wait for the broker: a call of QoS 0 is dropped")
+		f.core.Count(call.Class, refused)
+		f.owed--
+		return
+	}
 	remembered := false
 	if key != "" {
 		entry = keys.Open(key, target)
@@ -142,16 +154,21 @@
 	}
 	entry.Join(d.answer)
 	x := &exchange{keys: keys, key: key, entry: entry, remember: remembered}
+	if keyed && p.Dup() {
+		f.log.Warn("call delivered again, and its key is not known: it may have run", zap.String("key", call.Key))
+		f.recordFailed(&call)
+		f.core.Count(call.Class, failed)
+		x.finish(core.Answer{Kind: failed, Reason: "delivered again, and may have run before this gateway started"})
+		return
+	}
+	if d.ackLast { // remembered, so that a delivery after a loss of the connection is refused as well
+		f.core.Count(call.Class, refused)
+		x.finish(core.Answer{Kind: refused, RetryAfter: crowdedRetryAfter, Reason: "too many outcomes wait for the broker"})
+		return
+	}
 	if keyed {
 		d.ack()
 		f.session.Flush() // before the first attempt is sent
-		if p.Dup() {
-			f.log.Warn("call delivered again, and its key is not known: it may have run", zap.String("key", call.Key))
-			f.recordFailed(&call)
-			f.core.Count(call.Class, failed)
-			x.finish(core.Answer{Kind: failed, Reason: "delivered again, and may have run before this gateway started"})
-			return
-		}
 	}
 	call.Reply = x
 	f.core.Submit(call)
--- a/internal/wire/mqtt/publish.go
+++ b/internal/wire/mqtt/publish.go
@@ -19,6 +19,12 @@
 // Waiting is the number of queued messages.
 func (s *Session) Waiting() int { return len(s.queue) }
 
+// Crowded reports whether the queue has no room to spare if owed further messages are certain to be queued, or none for another answer.
+// The room that is left then is enough for one short message for each that the broker may send without an acknowledgement.
+func (s *Session) Crowded(owed int) bool {
+	return len(s.queue)+owed >= maxQueued-2*receiveMax || s.queuedBytes+maxAnswer > maxQueuedBytes
+}
+
 // nextID returns a packet id that no queued message has.
 func (s *Session) nextID() uint16 {
 	for {
@@ -44,8 +50,13 @@
 // PublishRefreshed is Publish of a message that refresh updates when it is sent, however long it has waited. If refresh returns
 // false, the message is no longer useful and is not sent.
 func (s *Session) PublishRefreshed(m Message, refresh func(*Message) bool, done func(reason byte, err error)) *Pending {
-	pending := &Pending{message: m, refresh: refresh, done: done, size: len(m.Topic) + len(m.Payload) + 64}
-	if len(s.queue) >= maxQueued || s.queuedBytes+pending.size > maxQueuedBytes || s.stopped {
+	pending := &Pending{message: m, refresh: refresh, done: done,
+		size: len(m.Topic) + len(m.Props.Correlation) + len(m.Payload) + 64}
+	limit := maxQueuedBytes
+	if len(m.Payload) == 0 {
+		limit += reservedBytes
+	}
+	if len(s.queue) >= maxQueued || s.queuedBytes+pending.size > limit || s.stopped {
 		s.loop.After(0, func() { done(0, errFull) })
 		return pending
 	}
--- a/internal/wire/mqtt/session.go
+++ b/internal/wire/mqtt/session.go
@@ -16,6 +16,7 @@
 	maxBackoff     = 10 * time.Second
 	maxQueued      = 2048    // messages in the queue, sent or not
 	maxQueuedBytes = 8 << 20 // bytes of these messages
+	reservedBytes  = 1 << 20 // bytes of messages without a payload beyond that, such as failures
 	sendWindow     = 256     // messages sent and not yet acknowledged at most; fewer if the broker sets a lower limit
 	receiveMax     = 64      // messages that the broker may have sent and we have not acknowledged, at most
 )
