Divide the reception of a call by MQTT into steps

Need: Front.receive had grown to over seventy lines with six ways to end.

Change: it parses, and then answers what is known, turns away what is not remembered, or opens the call, a function each; a value holds what they share. core.Keys says itself whether it is full. No behaviour is meant to change.

Result: tests of mqtt, core and lifecycle pass with -race, and FuzzDelivery's seeds with them.

--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -41,12 +41,15 @@
 // Len returns the number of remembered keys.
 func (k *Keys) Len() int { return len(k.entries) }
 
+// Full reports whether there is no room for another key.
+func (k *Keys) Full() bool { return len(k.entries) >= k.maxEntries }
+
 // Find returns the entry of a key, or nil if the key is not known.
 func (k *Keys) Find(key string) *Entry { return k.entries[key] }
 
 // Open adds an entry for a key that is not known, or returns nil if there is no room.
 func (k *Keys) Open(key, target string) *Entry {
-	if len(k.entries) >= k.maxEntries {
+	if k.Full() {
 		return nil
 	}
 	e := &Entry{Target: target}
--- a/internal/core/keys_handover.go
+++ b/internal/core/keys_handover.go
@@ -58,7 +58,7 @@
 	switch {
 	case call.Keep <= 0 || e != nil && !e.adopted:
 		return true
-	case e == nil && len(k.entries) >= k.maxEntries:
+	case e == nil && k.Full():
 		return false
 	case e == nil:
 		e = &Entry{Done: true, adopted: true}
--- a/internal/wire/mqtt/front.go
+++ b/internal/wire/mqtt/front.go
@@ -94,6 +94,16 @@
 // Waiting is the number of outcomes that the broker has not acknowledged.
 func (f *Front) Waiting() int { return f.session.Waiting() }
 
+// incoming is a call as it was delivered.
+type incoming struct {
+	*delivery
+	call        core.Call
+	keyed       bool // its class must not run twice
+	packet      *Packet
+	keys        *core.Keys // where it is remembered
+	key, target string     // under which it is remembered, and for which class and function
+}
+
 func (f *Front) receive(p *Packet, receipt Receipt) {
 	d := &delivery{front: f, responseTopic: p.Props.ResponseTopic, correlation: p.Props.Correlation, receipt: receipt,
 		ackLast: f.session.Crowded(f.owed)}
@@ -104,74 +114,79 @@
 		d.answer(core.Answer{Kind: failed, Reason: err.Error()})
 		return
 	}
-	keyed := f.site.Decide.Classes[call.Class].Effect != decide.Safe
-	key, target := f.keyOf(&call, d), call.ClassName+" "+call.Function
-	keys := f.safeCalls
-	if keyed {
-		keys = f.keyedCalls
-	}
-	entry := keys.Find(key)
-	if entry != nil && entry.Target != target {
-		d.answer(core.Answer{Kind: failed, Reason: "the key was used for another call"})
-		return
-	}
-	if entry != nil && entry.Done && entry.Answer.Kind == refused && !p.Dup() {
-		keys.Forget(key, entry) // nothing ran, and the caller tries again
-		entry = nil
-	}
-	if entry != nil {
-		f.log.Info("call delivered again", zap.String("key", call.Key), zap.Bool("open", !entry.Done))
-		if keyed && !d.ackLast {
-			d.ack()
-		}
-		entry.Join(d.answer)
-		return
+	in := &incoming{delivery: d, call: call, keyed: f.site.Decide.Classes[call.Class].Effect != decide.Safe, packet: p,
+		keys: f.safeCalls, key: f.keyOf(&call, d), target: call.ClassName + " " + call.Function}
+	if in.keyed {
+		in.keys = f.keyedCalls
 	}
-	if f.draining && !(keyed && p.Dup()) { // nothing ran, and nothing is remembered
-		f.core.Count(call.Class, refused)
-		d.answer(core.Answer{Kind: refused, RetryAfter: drainRetryAfter})
-		return
+	if !f.answerKnown(in) && !f.turnAway(in) {
+		f.open(in)
 	}
-	if d.ackLast && p.QoS() == 0 { // nothing would hold the broker back
+}
+
+// answerKnown answers a call that is remembered, or has it wait for the answer, and reports whether it is one.
+func (f *Front) answerKnown(in *incoming) bool {
+	entry := in.keys.Find(in.key)
+	switch {
+	case entry == nil:
+		return false
+	case entry.Target != in.target:
+		in.answer(core.Answer{Kind: failed, Reason: "the key was used for another call"})
+		return true
+	case entry.Done && entry.Answer.Kind == refused && !in.packet.Dup(): // nothing ran, and the caller tries again
+		in.keys.Forget(in.key, entry)
+		return false
+	}
+	f.log.Info("call delivered again", zap.String("key", in.call.Key), zap.Bool("open", !entry.Done))
+	if in.keyed && !in.ackLast {
+		in.ack()
+	}
+	entry.Join(in.answer)
+	return true
+}
+
+// turnAway refuses or drops a new call for which nothing is to be remembered, and reports whether it is one.
+func (f *Front) turnAway(in *incoming) bool {
+	switch {
+	case f.draining && !(in.keyed && in.packet.Dup()):
+		in.answer(core.Answer{Kind: refused, RetryAfter: drainRetryAfter})
+	case in.ackLast && in.packet.QoS() == 0: // nothing would hold the broker back
 		f.log.Warn("too many outcomes wait for the broker: a call of QoS 0 is dropped")
-		f.core.Count(call.Class, refused)
 		f.owed--
-		return
-	}
-	remembered := false
-	if key != "" {
-		entry = keys.Open(key, target)
-		remembered = entry != nil
-	}
-	if entry == nil && key != "" && keyed {
-		f.log.Warn("no room for another key", zap.Int("keys", keys.Len()))
-		f.core.Count(call.Class, refused)
-		d.answer(core.Answer{Kind: refused, RetryAfter: f.site.Decide.MaxRetryAfter})
-		return
-	}
-	if entry == nil { // the call has no key or correlation, or is a safe one that found no room
-		entry = &core.Entry{Target: target}
+	case in.keyed && in.key != "" && in.keys.Full():
+		f.log.Warn("no room for another key", zap.Int("keys", in.keys.Len()))
+		in.answer(core.Answer{Kind: refused, RetryAfter: f.site.Decide.MaxRetryAfter})
+	default:
+		return false
+	}
+	f.core.Count(in.call.Class, refused)
+	return true
+}
+
+// open remembers a new call and passes it to the core, unless it may have run before or there is no room for its outcome.
+func (f *Front) open(in *incoming) {
+	x := &exchange{keys: in.keys, key: in.key, entry: &core.Entry{Target: in.target}}
+	if in.key != "" && !in.keys.Full() { // a safe call that finds no room is not remembered
+		x.entry, x.remember = in.keys.Open(in.key, in.target), true
 	}
-	entry.Join(d.answer)
-	x := &exchange{keys: keys, key: key, entry: entry, remember: remembered}
-	if keyed && p.Dup() {
-		f.log.Warn("call delivered again, and its key is not known: it may have run", zap.String("key", call.Key))
-		f.recordFailed(&call)
-		f.core.Count(call.Class, failed)
+	x.entry.Join(in.answer)
+	switch {
+	case in.keyed && in.packet.Dup():
+		f.log.Warn("call delivered again, and its key is not known: it may have run", zap.String("key", in.call.Key))
+		f.recordFailed(&in.call)
+		f.core.Count(in.call.Class, failed)
 		x.finish(core.Answer{Kind: failed, Reason: "delivered again, and may have run before this gateway started"})
 		return
-	}
-	if d.ackLast { // remembered, so that a delivery after a loss of the connection is refused as well
-		f.core.Count(call.Class, refused)
+	case in.ackLast: // the refusal is remembered, so that a delivery after a loss of the connection is refused as well
+		f.core.Count(in.call.Class, refused)
 		x.finish(core.Answer{Kind: refused, RetryAfter: crowdedRetryAfter, Reason: "too many outcomes wait for the broker"})
 		return
-	}
-	if keyed {
-		d.ack()
+	case in.keyed:
+		in.ack()
 		f.session.Flush() // before the first attempt is sent
 	}
-	call.Reply = x
-	f.core.Submit(call)
+	in.call.Reply = x
+	f.core.Submit(in.call)
 }
 
 // keyOf returns the name under which a call is remembered, empty if it has none. It is the same at the next process, which may number
