Keep the link of an upgrade with any number of bans, and send only those that changed

Cause: upgrade.HandedOver sent every standing ban again, after a state that had them all, one message each in one iteration of the event loop. Peer.send closed the link when its queue of 64 was full, taking that for a peer that does not read.

Change: only bans set or lifted since the state was offered are sent. A peer that does not read is told by its taking no bytes for a second, as before. The separate queue of remembered calls goes, and the code for bans has its own file. The wire is the same.

--- a/internal/lifecycle/handover/link.go
+++ b/internal/lifecycle/handover/link.go
@@ -13,11 +13,13 @@
 )
 
 const (
-	helloTimeout    = 2 * time.Second // limit for the initial exchange; a new process must be ready within a few seconds of its start
-	writeTimeout    = time.Second     // a peer that accepts no message within this time is given up
-	sendQueueLength = 64              // number of messages that may wait to be sent to a peer
+	helloTimeout = 2 * time.Second // limit for the initial exchange; a new process must be ready within a few seconds of its start
+	writeTimeout = time.Second     // a peer that accepts no message within this time is given up
 )
 
+// callsKind is the kind of messages with remembered calls.
+const callsKind = "calls"
+
 // message is the content of one frame on the link. A frame is a length of four bytes in big-endian order, followed by JSON.
 type message struct {
 	Kind     string                `json:"kind"` // one of hello, state, no, ready, ban, call back, calls
--- a/internal/lifecycle/handover/peer.go
+++ b/internal/lifecycle/handover/peer.go
@@ -23,8 +23,7 @@
 // Peer is the link to the other process of the same gateway.
 type Peer struct {
 	conn      *net.UnixConn
-	outgoing  chan []byte
-	calls     callQueue
+	outbox    outbox
 	finish    chan struct{} // closed when nothing more is sent
 	flushed   chan struct{} // closed when all has been written since then
 	closeOnce sync.Once
@@ -32,11 +31,10 @@
 }
 
 func newPeer(conn *net.UnixConn) *Peer {
-	return &Peer{conn: conn, outgoing: make(chan []byte, sendQueueLength), calls: newCallQueue(), finish: make(chan struct{}),
-		flushed: make(chan struct{}), closed: make(chan struct{})}
+	return &Peer{conn: conn, outbox: newOutbox(), finish: make(chan struct{}), flushed: make(chan struct{}), closed: make(chan struct{})}
 }
 
-// Finish writes what is queued and then closes the link. It blocks until then, for limit at most. Nothing may be sent after it.
+// Finish writes what waits and then closes the link. It blocks until then, for limit at most. Nothing may be sent after it.
 func (p *Peer) Finish(limit time.Duration) {
 	close(p.finish)
 	timer := time.NewTimer(limit)
@@ -49,7 +47,7 @@
 	p.Close()
 }
 
-// Close closes the link without waiting for what is queued. It may be called more than once.
+// Close closes the link without writing what waits. It may be called more than once.
 func (p *Peer) Close() {
 	p.closeOnce.Do(func() {
 		close(p.closed)
@@ -57,16 +55,9 @@
 	})
 }
 
-// send queues a message and never blocks. It closes the link if the queue is full, since the peer does not read.
+// send queues a message and never blocks. It closes the link if the outbox is full.
 func (p *Peer) send(m message) {
-	b, err := encodeFrame(m)
-	if err != nil {
-		p.Close()
-		return
-	}
-	select {
-	case p.outgoing <- b:
-	default:
+	if !p.outbox.put(m) {
 		p.Close()
 	}
 }
@@ -81,11 +72,15 @@
 func (p *Peer) Unban(id string) { p.send(message{Kind: "call back", Ban: &roster.Ban{ID: id}}) }
 
 // Calls passes remembered calls to the successor. It never blocks.
-func (p *Peer) Calls(calls []core.RememberedCall) { p.calls.add(calls) }
+func (p *Peer) Calls(calls []core.RememberedCall) {
+	if !p.outbox.putCalls(calls) {
+		p.Close()
+	}
+}
 
-// run sends queued messages and passes received ones to the handler until the link is closed.
+// run sends waiting messages and passes received ones to the handler until the link is closed.
 func (p *Peer) run(handler Handler) {
-	go p.writeQueued()
+	go p.writeMessages()
 	for {
 		m, err := readMessage(p.conn)
 		if err != nil {
@@ -98,7 +93,7 @@
 			handler.Ban(*m.Ban)
 		case m.Kind == "call back" && m.Ban != nil && m.Ban.Check() == nil:
 			handler.Unban(m.Ban.ID)
-		case m.Kind == "calls":
+		case m.Kind == callsKind:
 			handler.Calls(m.Calls)
 		default: // unknown kinds are ignored: a later version may send more of them
 		}
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -115,21 +115,6 @@
 	u.saver.Save(handover.State{Identity: u.identity, Roster: u.gateway.core.Saved()})
 }
 
-// sendBan notifies the other process that an operator has banned a worker here, or lifted its ban, and saves the state.
-func (u *upgrade) sendBan(id string) {
-	ban, banned := u.gateway.core.Banned(id)
-	for _, p := range []*handover.Peer{u.predecessor, u.successor} {
-		switch {
-		case p == nil:
-		case banned:
-			p.Ban(ban)
-		default:
-			p.Unban(id)
-		}
-	}
-	u.save()
-}
-
 // Offer returns the listening socket and the state for a successor.
 func (u *upgrade) Offer() (net.Listener, handover.State, error) {
 	type offer struct {
@@ -164,14 +149,7 @@
 func (u *upgrade) HandedOver(p *handover.Peer) {
 	u.gateway.loop.PostUrgent(func() {
 		u.successor, u.successorReady = p, false
-		for _, b := range u.gateway.core.Saved().Bans {
-			p.Ban(b)
-		}
-		for _, b := range u.offeredRoster.Bans {
-			if _, banned := u.gateway.core.Banned(b.ID); !banned {
-				p.Unban(b.ID)
-			}
-		}
+		u.sendBansSinceOffer(p)
 		u.gateway.log.Info("a new process takes over")
 		u.splitLimits()
 	})
@@ -214,23 +192,6 @@
 	})
 }
 
-// Ban applies a ban that an operator has imposed at the other process.
-func (u *upgrade) Ban(b roster.Ban) {
-	u.gateway.loop.PostUrgent(func() {
-		u.gateway.core.AdoptBan(b)
-		u.save()
-	})
-}
-
-// Unban lifts a ban that an operator has lifted at the other process.
-func (u *upgrade) Unban(id string) {
-	u.gateway.loop.PostUrgent(func() {
-		if u.gateway.core.Enable(id) == nil {
-			u.save()
-		}
-	})
-}
-
 // stop closes the server and writes the last state, since the event loop is about to end.
 func (u *upgrade) stop() {
 	u.ended = true
