--- a/review/standins-2/drains.go
+++ b/review/standins-2/drains.go
@@ -42,13 +42,13 @@
 	}
 }
 
-// checkDrained breaks the rule for each call and each order that has come to a worker later than allowed. Both times count from when
-// the drain was in the bulletin.
+// checkDrained breaks the rule for each call and each order that has come to a worker later than allowed after a moment: that at which its
+// drain was in the bulletin, of SIGHUP, or of the new version's yes.
 func checkDrained(r *rig, ws []*worker, drained time.Time, allowed time.Duration) (late int) {
 	for _, w := range ws {
 		for _, a := range w.since(drained.Add(allowed + limitSlack)) {
 			late++
-			r.breakRule("%s gets %s %s %.2f s after its drain was in the bulletin; nothing new is allowed later than %.2f s after", w.id(), a.kind, a.id,
+			r.breakRule("%s drains and gets %s %s after %.2f s; nothing new is allowed later than %.2f s", w.id(), a.kind, a.id,
 				a.at.Sub(drained).Seconds(), allowed.Seconds())
 		}
 	}
@@ -155,7 +155,7 @@
 	return fmt.Sprintf("%s; %d calls and orders came to draining hosts too late", done, late), nil
 }
 
-// slowListUpgrade: a new version takes over while discovery is down for 8 s.
+// slowListUpgrade: a new version takes over while discovery is down for 8 s, into the start of a release.
 func slowListUpgrade(r *rig) (string, error) {
 	f := larderFleet(r, 16)
 	b := newBulletin(r, "0")
@@ -175,11 +175,16 @@
 	}
 	next := *g
 	next.operator = freeAddr()
-	if _, err = r.startGateway(&next); err != nil {
+	q, err := r.beginGateway(&next)
+	if err != nil {
+		return "", err
+	}
+	ws := f.workers[:3]
+	startDrains(ws, []*bulletin{b}, false) // the new configuration is written; its process has not said yes
+	if err := r.awaitGateway(&next, q); err != nil {
 		return "", err
 	}
-	yes, ws := time.Now(), f.workers[:3]
-	startDrains(ws, []*bulletin{b}, false)
+	yes := time.Now()
 	r.logf("the new process says yes; SIGTERM to the old one")
 	p.signal(sigterm)
 	time.Sleep(time.Until(down.Add(8 * time.Second)))
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -8,6 +8,7 @@
 	"time"
 )
 
+// cases holds what run.sh of the folders 6 to 10 starts, and the further looks that the report names.
 var cases = map[string]func(*rig) (summary string, err error){}
 
 func main() {
--- a/review/standins-2/mqtt.go
+++ b/review/standins-2/mqtt.go
@@ -11,6 +11,7 @@
 
 func init() {
 	cases["redelivered"] = redelivered
+	cases["sent-again"] = sentAgain
 	cases["broker-away"] = brokerAway
 }
 
@@ -30,10 +31,12 @@
 	mu       sync.Mutex
 	outcomes map[string][]string // by id of the call
 	classOf  map[string]string
+	sent     map[string]*message
+	repeats  int // calls that were sent again
 }
 
 func newMQTTCalls(r *rig, b *broker, client string) *mqttCalls {
-	c := &mqttCalls{r: r, b: b, client: client, outcomes: map[string][]string{}, classOf: map[string]string{}}
+	c := &mqttCalls{r: r, b: b, client: client, outcomes: map[string][]string{}, classOf: map[string]string{}, sent: map[string]*message{}}
 	b.onOut = func(topic string, m message) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -65,12 +68,23 @@
 	c.mu.Lock()
 	c.classOf[id] = class
 	c.outcomes[id] = nil
+	c.sent[id] = m
 	c.mu.Unlock()
 	c.r.logf("call %s of %s is published", id, class)
 	c.b.publish(c.client, m)
 	return id
 }
 
+// again publishes a call once more, as it was.
+func (c *mqttCalls) again(id string) {
+	c.mu.Lock()
+	m := *c.sent[id]
+	c.repeats++
+	c.mu.Unlock()
+	c.r.logf("call %s is sent again by its caller's session", id)
+	c.b.publish(c.client, &m)
+}
+
 func awaitBroker(b *broker) error {
 	for range 200 {
 		if b.connected() {
@@ -127,6 +141,43 @@
 	return fmt.Sprintf("%d calls; their final answers: %v", len(c.outcomes), counts), nil
 }
 
+// sentAgain: callers' connections to the broker drop before their calls are acknowledged to them, so their sessions send the calls again.
+// To the broker's subscriber each is a message of its own, without the mark of a duplicate (MQTT 5.0, 3.3.1.1).
+func sentAgain(r *rig) (string, error) {
+	f := larderFleet(r, 6)
+	f.workTime = func(string) time.Duration { return 320 * time.Millisecond }
+	b := newBroker(r)
+	if _, _, err := oneGateway(r, f, b, larderSettings(1, 0, 0)); err != nil {
+		return "", err
+	}
+	c := newMQTTCalls(r, b, "quillrail-calls-n0")
+	for round := range 4 {
+		for i := range 5 {
+			id := c.call("order-confirm", "glenmuir-foods", false, false, i+1)
+			if r.trouble && round > 0 && i < 2 {
+				time.AfterFunc(time.Second, func() { c.again(id) })
+			}
+		}
+		time.Sleep(5 * time.Second)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ran := map[string]int{}
+	f.mu.Lock()
+	for _, x := range f.runs {
+		ran[x.id]++
+	}
+	f.mu.Unlock()
+	twice := 0
+	for id, n := range ran {
+		if n > 1 {
+			twice++
+			r.breakRule("order-confirm %s ran %d times; its caller got %q", id, n, c.outcomes[id])
+		}
+	}
+	return fmt.Sprintf("%d calls, %d sent again by their callers' sessions, %d ran, %d of them more than once", len(c.outcomes), c.repeats, len(ran), twice), nil
+}
+
 // brokerAway: the broker is away for 1.5 s while the gateway is restarted as planned.
 func brokerAway(r *rig) (string, error) {
 	f := newFleet(r, 6, 3)
--- a/review/standins-2/rig.go
+++ b/review/standins-2/rig.go
@@ -122,8 +122,17 @@
 	return path
 }
 
-// startGateway starts a process of a gateway and waits until it is ready: by GET /check, or at its operators' door if it has one.
+// startGateway starts a process of a gateway and waits until it is ready.
 func (r *rig) startGateway(g *gateway) (*process, error) {
+	p, err := r.beginGateway(g)
+	if err == nil {
+		err = r.awaitGateway(g, p)
+	}
+	return p, err
+}
+
+// beginGateway starts a process of a gateway.
+func (r *rig) beginGateway(g *gateway) (*process, error) {
 	path := r.writeConfig(g)
 	logFile, err := os.OpenFile(filepath.Join(r.tmp, g.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
@@ -143,18 +152,23 @@
 	p := &process{name: g.name, cmd: cmd, exited: make(chan struct{}), listen: g.listen, operator: g.operator}
 	go func() { cmd.Wait(); close(p.exited) }()
 	r.procs = append(r.procs, p)
+	return p, nil
+}
+
+// awaitGateway waits until a process of a gateway is ready: by GET /check, or at its operators' door if it has one.
+func (r *rig) awaitGateway(g *gateway, p *process) error {
 	for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(20 * time.Millisecond) {
 		if g.operator != "" && operatorCall(g.operator, "ready") == "SUCCESS" || g.operator == "" && checkReady(g.listen) {
-			r.logf("%s is ready, pid %d", g.name, cmd.Process.Pid)
-			return p, nil
+			r.logf("%s is ready, pid %d", g.name, p.cmd.Process.Pid)
+			return nil
 		}
 		select {
 		case <-p.exited:
-			return nil, fmt.Errorf("%s ended at its start: %s", g.name, r.gatewayLog(g.name))
+			return fmt.Errorf("%s ended at its start: %s", g.name, r.gatewayLog(g.name))
 		default:
 		}
 	}
-	return nil, fmt.Errorf("%s is not ready: %s", g.name, r.gatewayLog(g.name))
+	return fmt.Errorf("%s is not ready: %s", g.name, r.gatewayLog(g.name))
 }
 
 func (r *rig) gatewayLog(name string) string {
