Give the broker all outcomes before a process ends, or leave them to its successor

The broker was away for 1.5 s as the gateway got SIGTERM; the gateway ended 0.80 s after it, 2.9 s before SIGKILL could come.

Cause: stopAfterCalls and stopAfterClients (lifecycle/shutdown.go) waited for outcomes only while the session was up, so that a lost broker ended the wait; Session.fail then dropped the queue. Ruled out: the workers (12 of 12 ran), and the stand-in broker's lost acknowledgements (the first four calls, which have those, had their outcomes).

Change: a process that is ending goes on while outcomes wait, until its drain limit, and tries a lost broker every 0.1 s. 0.7 s after SIGTERM, calls by MQTT are refused. At an upgrade the old process leaves outcomes to a successor whose "ready" names the same broker, so that the wait is not needed; an older successor names none, and the old process waits itself. Calls that the broker delivers again are left out, since the successor answers them. What is owed at the limit is logged by call. Why this works: an outcome leaves the queue only when the broker has acknowledged it, the successor's process has been sent it, or SIGKILL is near.

The link has two new parts that older builds ignore: the message "outcome", and "broker" in "ready". The state and its file are unchanged.

--- a/internal/lifecycle/handover/calls_test.go
+++ b/internal/lifecycle/handover/calls_test.go
@@ -8,8 +8,11 @@
 	"time"
 
 	"quillrail/internal/core"
+	"quillrail/internal/wire/mqtt"
 )
 
+func (s *handlerStub) Outcome(o mqtt.UnpublishedOutcome) { s.events <- "outcome " + o.CallID }
+
 // Calls reports each call with its answer, as an event.
 func (s *handlerStub) Calls(calls []core.RememberedCall) {
 	for _, call := range calls {
--- a/internal/lifecycle/handover/handover_test.go
+++ b/internal/lifecycle/handover/handover_test.go
@@ -112,7 +112,7 @@
 
 func (s *handlerStub) Ban(b roster.Ban)                    { s.events <- "ban " + b.ID }
 func (s *handlerStub) Unban(id string)                     { s.events <- "call back " + id }
-func (s *handlerStub) PeerReady(*Peer)                     { s.events <- "ready" }
+func (s *handlerStub) PeerReady(*Peer, string)             { s.events <- "ready" }
 func (s *handlerStub) PeerGone(*Peer)                      { s.events <- "gone" }
 func (s *handlerStub) Offer() (net.Listener, State, error) { return s.listener, s.state, s.offerErr }
 func (s *handlerStub) HandedOver(p *Peer)                  { s.successors <- p }
@@ -176,7 +176,7 @@
 	if n, err := client.Read(make([]byte, 1)); n != 1 {
 		t.Errorf("the client got %d bytes: %v", n, err)
 	}
-	linkToOld.Ready()
+	linkToOld.Ready("")
 	linkToOld.Ban(roster.Ban{ID: "a"})
 	linkToOld.Unban("a")
 	wantEvents(t, old, "ready", "ban a", "call back a")
--- a/internal/lifecycle/handover/link.go
+++ b/internal/lifecycle/handover/link.go
@@ -10,6 +10,7 @@
 
 	"quillrail/internal/core"
 	"quillrail/internal/roster"
+	"quillrail/internal/wire/mqtt"
 )
 
 const (
@@ -17,17 +18,22 @@
 	writeTimeout = time.Second     // a peer that accepts no message within this time is given up
 )
 
-// callsKind is the kind of messages with remembered calls.
-const callsKind = "calls"
+// Kinds of messages with remembered calls, and with an outcome that is to be published.
+const (
+	callsKind   = "calls"
+	outcomeKind = "outcome"
+)
 
 // message is the content of one frame on the link. A frame is a length of four bytes in big-endian order, followed by JSON.
 type message struct {
-	Kind     string                `json:"kind"` // one of hello, state, no, ready, ban, call back, calls
-	Identity *Identity             `json:"who,omitempty"`
-	State    *State                `json:"state,omitempty"`
-	Ban      *roster.Ban           `json:"ban,omitempty"`
-	Calls    []core.RememberedCall `json:"calls,omitempty"`
-	Why      string                `json:"why,omitempty"`
+	Kind     string                   `json:"kind"` // one of hello, state, no, ready, ban, call back, calls, outcome
+	Identity *Identity                `json:"who,omitempty"`
+	State    *State                   `json:"state,omitempty"`
+	Ban      *roster.Ban              `json:"ban,omitempty"`
+	Calls    []core.RememberedCall    `json:"calls,omitempty"`
+	Outcome  *mqtt.UnpublishedOutcome `json:"outcome,omitempty"`
+	Broker   string                   `json:"broker,omitempty"` // with ready: address of the broker at which the sender publishes outcomes
+	Why      string                   `json:"why,omitempty"`
 }
 
 func encodeFrame(m message) ([]byte, error) {
--- a/internal/lifecycle/handover/peer.go
+++ b/internal/lifecycle/handover/peer.go
@@ -7,6 +7,7 @@
 
 	"quillrail/internal/core"
 	"quillrail/internal/roster"
+	"quillrail/internal/wire/mqtt"
 )
 
 // Handler receives the events of a link. Its methods are called on goroutines of the link, one at a time for each peer.
@@ -14,7 +15,8 @@
 	Ban(roster.Ban)                      // an operator has banned a worker at the other process
 	Unban(id string)                     // an operator has lifted the ban of a worker there
 	Calls([]core.RememberedCall)         // the predecessor remembers these calls
-	PeerReady(p *Peer)                   // the successor is ready to serve
+	Outcome(mqtt.UnpublishedOutcome)     // the predecessor leaves this outcome to be published here
+	PeerReady(p *Peer, broker string)    // the successor is ready to serve, and can publish outcomes at this broker, empty for none
 	PeerGone(p *Peer)                    // the other process has ended or has stopped responding
 	Offer() (net.Listener, State, error) // the socket and state for a successor; the text of an error is sent to it as the reason of a refusal
 	HandedOver(p *Peer)                  // a successor has been sent what Offer returned
@@ -62,8 +64,12 @@
 	}
 }
 
-// Ready notifies the predecessor that this process is ready to serve.
-func (p *Peer) Ready() { p.send(message{Kind: "ready"}) }
+// Ready notifies the predecessor that this process is ready to serve, and can publish outcomes at the broker with this address; empty
+// for none.
+func (p *Peer) Ready(broker string) { p.send(message{Kind: "ready", Broker: broker}) }
+
+// Outcome leaves an outcome to the successor, which publishes it.
+func (p *Peer) Outcome(o mqtt.UnpublishedOutcome) { p.send(message{Kind: outcomeKind, Outcome: &o}) }
 
 // Ban notifies the peer that an operator has banned a worker at this process.
 func (p *Peer) Ban(b roster.Ban) { p.send(message{Kind: "ban", Ban: &b}) }
@@ -88,13 +94,15 @@
 		}
 		switch {
 		case m.Kind == "ready":
-			handler.PeerReady(p)
+			handler.PeerReady(p, m.Broker)
 		case m.Kind == "ban" && m.Ban != nil && m.Ban.Check() == nil:
 			handler.Ban(*m.Ban)
 		case m.Kind == "call back" && m.Ban != nil && m.Ban.Check() == nil:
 			handler.Unban(m.Ban.ID)
 		case m.Kind == callsKind:
 			handler.Calls(m.Calls)
+		case m.Kind == outcomeKind && m.Outcome != nil && m.Outcome.ResponseTopic != "":
+			handler.Outcome(*m.Outcome)
 		default: // unknown kinds are ignored: a later version may send more of them
 		}
 	}
--- a/internal/lifecycle/shutdown.go
+++ b/internal/lifecycle/shutdown.go
@@ -44,7 +44,11 @@
 		g.node.Drain()
 	}
 	handed := g.upgrade != nil && g.upgrade.successorReady
-	g.log.Info("draining", zap.Int("open", g.core.InFlight()), zap.Int("clients", g.front.Conns()), zap.Bool("handed", handed))
+	g.log.Info("draining", zap.Int("open", g.core.InFlight()), zap.Int("clients", g.front.Conns()),
+		zap.Int("outcomes", g.unpublishedOutcomes()), zap.Bool("handed", handed))
+	if g.mqttFront != nil {
+		g.mqttFront.ReconnectSoon()
+	}
 	if handed { // the new process accepts the connections in the listening socket's queue and all later ones
 		g.net.StopAccepting()
 		g.front.HandOver()
@@ -55,11 +59,11 @@
 	} else { // /check answers no, so that clients go elsewhere; later, answers close the connections of those that still call
 		g.front.Unready()
 		g.loop.After(connectionWindow, g.front.HandOver)
-		g.loop.After(callWindow, g.stopAfterCalls)
+		g.loop.After(callWindow, g.closeCallWindow)
 	}
 	g.loop.After(g.drainLimit(), func() {
-		if n := g.core.InFlight(); n > 0 {
-			g.log.Warn("out of time", zap.Int("failed", n))
+		if n, outcomes := g.core.InFlight(), g.unpublishedOutcomes(); n > 0 || outcomes > 0 {
+			g.log.Warn("out of time", zap.Int("failed", n), zap.Int("outcomes", outcomes))
 			g.core.FailAll()
 		}
 		g.front.Shutdown()
@@ -67,26 +71,39 @@
 	})
 }
 
-// stopAfterClients stops the gateway when no calls are in flight, no clients are connected and the broker has acknowledged all outcomes.
-// It checks this every 10 ms.
+// stopAfterClients stops the gateway when no calls are in flight, no clients are connected and the broker has acknowledged all outcomes,
+// or the successor can publish them. It checks this every 10 ms.
 func (g *Gateway) stopAfterClients() {
-	if g.core.InFlight() > 0 || g.front.Conns() > 0 || g.mqttFront != nil && g.mqttFront.Up() && g.mqttFront.Waiting() > 0 {
+	if g.core.InFlight() > 0 || g.front.Conns() > 0 || g.awaitsBroker() {
 		g.loop.After(10*time.Millisecond, g.stopAfterClients)
 		return
 	}
 	g.stop()
 }
 
+// closeCallWindow refuses the calls that a broker still delivers, and stops the gateway when all others are answered.
+func (g *Gateway) closeCallWindow() {
+	if g.mqttFront != nil {
+		g.mqttFront.Drain()
+	}
+	g.stopAfterCalls()
+}
+
+// unanswered reports whether calls are in flight, or answers have not left this process.
+func (g *Gateway) unanswered() bool {
+	return g.core.InFlight() > 0 || g.front.Unsent() > 0 || g.awaitsBroker()
+}
+
 // stopAfterCalls is the counterpart of stopAfterClients without a successor. It doesn't wait until clients disconnect: when all calls
 // are answered and the answers read, it closes the connections.
 func (g *Gateway) stopAfterCalls() {
-	if g.core.InFlight() > 0 || g.front.Unsent() > 0 || g.mqttFront != nil && g.mqttFront.Up() && g.mqttFront.Waiting() > 0 {
+	if g.unanswered() {
 		g.loop.After(10*time.Millisecond, g.stopAfterCalls)
 		return
 	}
 	g.front.Shutdown()
 	g.loop.After(flushDelay, func() {
-		if g.core.InFlight() > 0 || g.front.Unsent() > 0 { // another call arrived meanwhile
+		if g.unanswered() { // another call arrived meanwhile
 			g.stopAfterCalls()
 			return
 		}
@@ -104,6 +121,9 @@
 	if g.core != nil {
 		g.core.FailAll()
 	}
+	if g.upgrade != nil {
+		g.upgrade.passOutcomes()
+	}
 	if g.mqttFront != nil {
 		g.mqttFront.Stop()
 	}
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -19,18 +19,19 @@
 // implements handover.Handler. Its fields belong to the event loop; the methods of handover.Handler, which run on goroutines of the
 // link, only post to the loop.
 type upgrade struct {
-	gateway        *Gateway
-	dir            string
-	identity       handover.Identity
-	saver          *handover.Saver
-	server         *handover.Server // accepts the successor's connection
-	listening      bool             // a goroutine is creating the server
-	predecessor    *handover.Peer   // nil once the predecessor has ended
-	successor      *handover.Peer
-	successorReady bool          // the successor has reported that it is ready to serve
-	offeredRoster  roster.Saved  // the roster that was last offered to a successor
-	callTransfer   *callTransfer // to the successor; nil without one that is ready, and without an MQTT front
-	ended          bool
+	gateway         *Gateway
+	dir             string
+	identity        handover.Identity
+	saver           *handover.Saver
+	server          *handover.Server // accepts the successor's connection
+	listening       bool             // a goroutine is creating the server
+	predecessor     *handover.Peer   // nil once the predecessor has ended
+	successor       *handover.Peer
+	successorReady  bool          // the successor has reported that it is ready to serve
+	successorBroker string        // address of the broker at which the successor publishes outcomes; empty for none
+	offeredRoster   roster.Saved  // the roster that was last offered to a successor
+	callTransfer    *callTransfer // to the successor; nil without one that is ready, and without an MQTT front
+	ended           bool
 }
 
 // takeOver requests the listening socket and the state from the process of this gateway that serves now. If there is none, it loads the
@@ -63,7 +64,7 @@
 	u.save()
 	if u.predecessor != nil {
 		u.predecessor.Start(u)
-		u.predecessor.Ready()
+		u.predecessor.Ready(u.gateway.outcomeBroker())
 	}
 	u.listen()
 	u.splitLimits()
@@ -156,10 +157,10 @@
 }
 
 // PeerReady notes that the successor is ready: after SIGTERM it alone accepts connections.
-func (u *upgrade) PeerReady(p *handover.Peer) {
+func (u *upgrade) PeerReady(p *handover.Peer, broker string) {
 	u.gateway.loop.PostUrgent(func() {
 		if u.successor == p {
-			u.successorReady = true
+			u.successorReady, u.successorBroker = true, broker
 			u.beginCallTransfer(p)
 			u.gateway.log.Info("the new process is ready")
 		}
--- a/internal/wire/mqtt/connection.go
+++ b/internal/wire/mqtt/connection.go
@@ -201,13 +201,17 @@
 		abandoned, s.queue, s.sent, s.queuedBytes = s.queue, nil, 0, 0
 	}
 	if !s.stopped {
-		s.loop.After(s.backoff, s.Connect)
-		s.backoff = min(2*s.backoff, maxBackoff)
+		s.reconnect = s.loop.After(s.backoff, s.Connect)
+		s.backoff = min(2*s.backoff, s.maxBackoff)
 	}
 	if wasUp && s.onState != nil {
 		s.onState(false)
 	}
+	reason := errLost
+	if s.stopped {
+		reason = errStopped
+	}
 	for _, pending := range abandoned {
-		pending.done(0, errLost)
+		pending.done(0, reason)
 	}
 }
--- a/internal/wire/mqtt/delivery.go
+++ b/internal/wire/mqtt/delivery.go
@@ -19,17 +19,17 @@
 // delivery is one message with a call. Several deliveries may carry the same call.
 type delivery struct {
 	front         *Front
+	callID        string // as the caller gave it, for the log; empty if it gave none
 	responseTopic string // empty if no answer is wanted
 	correlation   []byte
 	receipt       Receipt
-	acked         bool
+	acked         bool // the call is settled with the broker, which does not deliver it again
 	ackLast       bool // the call is acknowledged when the broker has its outcome, so that fewer calls come than outcomes go
 }
 
 func (d *delivery) ack() {
 	if !d.acked {
-		d.acked = true
-		d.receipt.Ack()
+		d.acked = d.receipt.Ack()
 	}
 }
 
@@ -46,7 +46,9 @@
 
 // publish publishes an outcome. If there is no room for its answer, here or at the broker, a failure is published in its place.
 func (d *delivery) publish(a core.Answer) {
-	d.front.session.Publish(d.message(a), func(reason byte, err error) {
+	var pending *Pending
+	pending = d.front.session.Publish(d.message(a), func(reason byte, err error) {
+		delete(d.front.unpublished, pending)
 		if why := replacement(err); why != "" && len(a.Body) > 0 {
 			d.front.log.Warn("answer not published, its call is failed", zap.String("topic", d.responseTopic), zap.Error(err))
 			d.publish(core.Answer{Kind: failed, Reason: why})
@@ -55,6 +57,7 @@
 		d.logPublished(reason, err)
 		d.ack()
 	})
+	d.front.unpublished[pending] = unpublished{d, a}
 }
 
 // replacement returns the reason of the failure that takes the place of an answer which ended with err, empty if none does.
@@ -69,7 +72,7 @@
 }
 
 func (d *delivery) logPublished(reason byte, err error) {
-	log := d.front.log.With(zap.String("topic", d.responseTopic))
+	log := d.front.log.With(zap.String("topic", d.responseTopic), zap.String("call", d.callID))
 	switch {
 	case err != nil:
 		log.Warn("outcome not published", zap.Error(err))
--- a/internal/wire/mqtt/front.go
+++ b/internal/wire/mqtt/front.go
@@ -42,17 +42,18 @@
 // first attempt, a redelivered call with an unknown key may have run under a previous process, so it is failed. Calls of safe classes
 // are acknowledged together with their outcome, so that the broker stores them for the next process if this one dies.
 type Front struct {
-	loop       *core.Loop
-	core       Core
-	site       *settings.Site
-	log        *zap.Logger
-	observe    core.Observer
-	session    *Session
-	keyedCalls *core.Keys // keyed calls; their keys are never forgotten early
-	safeCalls  *core.Keys // safe calls, which may run again if there is no room to remember them
-	rng        *rand.Rand
-	owed       int  // deliveries that have no outcome yet
-	draining   bool // calls are refused
+	loop        *core.Loop
+	core        Core
+	site        *settings.Site
+	log         *zap.Logger
+	observe     core.Observer
+	session     *Session
+	keyedCalls  *core.Keys // keyed calls; their keys are never forgotten early
+	safeCalls   *core.Keys // safe calls, which may run again if there is no room to remember them
+	rng         *rand.Rand
+	unpublished map[*Pending]unpublished // outcomes that the broker has not acknowledged
+	owed        int                      // deliveries that have no outcome yet
+	draining    bool                     // calls are refused
 }
 
 // Times to wait that are sent to callers who are refused while draining, and while too many outcomes wait for the broker.
@@ -77,7 +78,7 @@
 	f := &Front{loop: loop, core: callCore, site: site, log: log, observe: observe,
 		keyedCalls: core.NewKeys(loop, retention, maxKeys, maxAnswerBytes),
 		safeCalls:  core.NewKeys(loop, min(retention, time.Minute), maxKeys/10, maxAnswerBytes/4),
-		rng:        rand.New(rand.NewPCG(seed, 2))}
+		rng:        rand.New(rand.NewPCG(seed, 2)), unpublished: map[*Pending]unpublished{}}
 	f.session = NewSession(loop, dialer, opts, f.receive, nil, log)
 	return f
 }
@@ -105,7 +106,7 @@
 }
 
 func (f *Front) receive(p *Packet, receipt Receipt) {
-	d := &delivery{front: f, responseTopic: p.Props.ResponseTopic, correlation: p.Props.Correlation, receipt: receipt,
+	d := &delivery{front: f, callID: p.Props.Get("id"), responseTopic: p.Props.ResponseTopic, correlation: p.Props.Correlation, receipt: receipt,
 		ackLast: f.session.Crowded(f.owed)}
 	f.owed++
 	call, err := f.parseCall(p)
--- a/internal/wire/mqtt/link.go
+++ b/internal/wire/mqtt/link.go
@@ -130,7 +130,7 @@
 			l.receiver.Wrote(1) // the broker has it, and a subscriber to deliver it to
 		}
 		switch {
-		case err == errLost: // sessionChanged ends all attempts in flight
+		case err == errLost || err == errStopped: // sessionChanged ends all attempts in flight
 		case err != nil:
 			l.end(a.Ref, decide.NotSent, decide.NoNote, nil)
 		case reason == NoSubscribers, reason >= firstFailure: // it was delivered to nobody
--- a/internal/wire/mqtt/publish.go
+++ b/internal/wire/mqtt/publish.go
@@ -56,7 +56,11 @@
 	if len(m.Payload) == 0 {
 		limit += reservedBytes
 	}
-	if len(s.queue) >= maxQueued || s.queuedBytes+pending.size > limit || s.stopped {
+	if s.stopped {
+		s.loop.After(0, func() { done(0, errStopped) })
+		return pending
+	}
+	if len(s.queue) >= maxQueued || s.queuedBytes+pending.size > limit {
 		s.loop.After(0, func() { done(0, errFull) })
 		return pending
 	}
@@ -78,6 +82,14 @@
 	return false
 }
 
+// takeQueue empties the queue of messages that the broker has not acknowledged, sent or not, and returns them. Their done functions are
+// not called.
+func (s *Session) takeQueue() []*Pending {
+	queue := s.queue
+	s.queue, s.sent, s.queuedBytes = nil, 0, 0
+	return queue
+}
+
 // Send sends a message with QoS 0, if the session is up.
 func (s *Session) Send(m Message) {
 	if s.up {
--- a/internal/wire/mqtt/session.go
+++ b/internal/wire/mqtt/session.go
@@ -33,12 +33,14 @@
 }
 
 // Errors with which a message ends: errLost if its connection was lost, errFull if the queue has no room for it, errExpired if it
-// was no longer useful when it could have been sent, errTooLong if the broker takes no packet of its size.
+// was no longer useful when it could have been sent, errTooLong if the broker takes no packet of its size, errStopped if the session
+// was stopped first.
 var (
 	errLost    = errors.New("connection lost")
 	errFull    = errors.New("message queue is full")
 	errExpired = errors.New("message expired before it could be sent")
 	errTooLong = errors.New("message exceeds the broker's limit")
+	errStopped = errors.New("session was stopped before the broker acknowledged the message")
 )
 
 // Session is a client's session with a broker. It reconnects after each loss. It is used on the event loop only.
@@ -58,7 +60,9 @@
 	stopped       bool
 	watchdog      *core.Deadline // first for connectTimeout, then for silence of the broker
 	pingTimer     *core.Deadline
-	backoff       time.Duration
+	reconnect     *core.Deadline // the next attempt to connect; nil while none is scheduled
+	backoff       time.Duration  // pause before the next attempt to connect after a loss
+	maxBackoff    time.Duration
 	lostAt        time.Duration // when the broker was lost; 0 while it is not
 	out           []byte        // packets to be written by Flush
 	maxInFlight   int           // limit of sent: sendWindow, or less if CONNACK states a lower one; 0 before CONNACK
@@ -76,11 +80,17 @@
 	packetID uint16
 }
 
-// Ack acknowledges the message. The acknowledgement is written by the next Flush.
-func (r Receipt) Ack() {
-	if r.packetID > 0 && r.session.connSeq == r.connSeq && r.session.conn != nil {
-		r.session.write(AppendPuback(nil, r.packetID, Success))
+// Ack acknowledges the message. The acknowledgement is written by the next Flush. It reports whether the message is settled, as the
+// acknowledgement could be written or none is due; otherwise the broker delivers the message again.
+func (r Receipt) Ack() bool {
+	if r.packetID == 0 {
+		return true
 	}
+	if r.session.connSeq != r.connSeq || r.session.conn == nil {
+		return false
+	}
+	r.session.write(AppendPuback(nil, r.packetID, Success))
+	return true
 }
 
 // NewSession returns a session that passes messages to onPublish and changes of Up to onState.
@@ -89,11 +99,13 @@
 	if opts.MaxPacket == 0 {
 		opts.MaxPacket = maxPacket
 	}
-	return &Session{loop: loop, dialer: dialer, opts: opts, log: log, onPublish: onPublish, onState: onState, backoff: minBackoff}
+	return &Session{loop: loop, dialer: dialer, opts: opts, log: log, onPublish: onPublish, onState: onState, backoff: minBackoff,
+		maxBackoff: maxBackoff}
 }
 
 // Connect connects to the broker.
 func (s *Session) Connect() {
+	s.reconnect = nil
 	if s.stopped {
 		return
 	}
@@ -105,6 +117,15 @@
 	})
 }
 
+// ReconnectSoon has the session connect again within minBackoff after each failure from now on, also after one that has happened.
+func (s *Session) ReconnectSoon() {
+	s.backoff, s.maxBackoff = minBackoff, minBackoff
+	if s.reconnect != nil {
+		s.loop.Cancel(s.reconnect)
+		s.reconnect = s.loop.After(minBackoff, s.Connect)
+	}
+}
+
 // Stop closes the connection and does not connect again.
 func (s *Session) Stop() {
 	if s.conn != nil {
