--- a/internal/fleettest/syscalls_test.go
+++ b/internal/fleettest/syscalls_test.go
@@ -95,9 +95,6 @@
 	}
 }
 
-// interruptible are the system calls that a signal may interrupt.
-var interruptible = []int{unix.SYS_READ, unix.SYS_WRITE, unix.SYS_EPOLL_WAIT, unix.SYS_EPOLL_PWAIT}
-
 // onOutgoingConnection returns a test for calls on connections that gateways open, to workers and lists.
 func onOutgoingConnection(fleet *lab.Lab) func(sysfault.Call) bool {
 	return func(c sysfault.Call) bool {
