Know a call by MQTT again by its id, where it has neither key nor correlation data

Where the gateway's own connection dropped, a caller was told "failed" (the id is that of an open call), then "served".

Cause: keyOf (wire/mqtt/front.go) knows a call by its key or by its correlation data; these calls have neither. PROTOCOL has the id "new with every request, also with a client's retry", so the same id is the same request. Ruled out: the DUP flag, which speaks of one connection only and does not come with what a caller's session sends again (MQTT 5, 3.3.1.1).

Change: the id that a caller gave is the third name of a call, for each tenant. It is remembered, and passed to a new version, as the others are. Why this works: whatever delivers a message again keeps its properties, the id among them. Calls that an older version passes on have their names as before.

--- a/internal/wire/mqtt/front.go
+++ b/internal/wire/mqtt/front.go
@@ -132,13 +132,13 @@
 	case entry == nil:
 		return false
 	case entry.Target != in.target:
-		in.answer(core.Answer{Kind: failed, Reason: "the key was used for another call"})
+		in.answer(core.Answer{Kind: failed, Reason: "the key or id was used for another call"})
 		return true
 	case entry.Done && entry.Answer.Kind == refused && !in.packet.Dup(): // nothing ran, and the caller tries again
 		in.keys.Forget(in.key, entry)
 		return false
 	}
-	f.log.Info("call delivered again", zap.String("key", in.call.Key), zap.Bool("open", !entry.Done))
+	f.log.Info("call delivered again", zap.String("key", in.call.Key), zap.String("call", in.callID), zap.Bool("open", !entry.Done))
 	if in.keyed && !in.ackLast {
 		in.ack()
 	}
@@ -190,20 +190,28 @@
 	f.core.Submit(in.call)
 }
 
-// keyOf returns the name under which a call is remembered, empty if it has none. It is the same at the next process, which may number
-// tenants otherwise.
+// keyOf returns the name under which a call is remembered, empty if it has none: its key, else its correlation data, else the id that its
+// caller gave it. It is the same at the next process, which may number tenants otherwise.
 func (f *Front) keyOf(call *core.Call, d *delivery) string {
 	switch {
-	case call.Key != "" && len(f.site.Tenants) > 0:
-		return "k " + f.site.Tenants[call.Tenant] + "\x00" + call.Key
 	case call.Key != "":
-		return "k \x00" + call.Key
+		return "k " + f.tenantOf(call) + "\x00" + call.Key
 	case d.responseTopic != "" && d.correlation != nil:
 		return "c " + d.responseTopic + "\x00" + string(d.correlation)
+	case d.callID != "":
+		return "i " + f.tenantOf(call) + "\x00" + call.ID
 	}
 	return ""
 }
 
+// tenantOf returns the name of a call's tenant, empty if the site has none.
+func (f *Front) tenantOf(call *core.Call) string {
+	if len(f.site.Tenants) == 0 {
+		return ""
+	}
+	return f.site.Tenants[call.Tenant]
+}
+
 // parseCall reads a call from a message.
 func (f *Front) parseCall(p *Packet) (core.Call, error) {
 	props := &p.Props
