Make what saves a gateway's state before the first operator's call or signal can come

Cause: upgrade.start made the saver when the gateway began to serve. In a fleet the core is built some 0.2 s earlier, and changeBan asks only whether there is a core, so that upgrade.save met a nil saver; upgrade.stop closed it in any phase. fleetGateway.saveState had a guard of its own. Evidence: the stacks of both, Saver.Save from sendBan and Saver.Close from Gateway.stop.

Change: takeOver makes the saver with the rest of the upgrade, before Start opens the operators' listener. The guard of saveState is gone. Why this works: there is no phase left in which the upgrade exists without it. architecture.md has the phases in a table.

--- a/internal/lifecycle/fleet.go
+++ b/internal/lifecycle/fleet.go
@@ -110,7 +110,7 @@
 }
 
 func (f *fleetGateway) saveState() {
-	if f.upgrade != nil && f.upgrade.saver != nil {
+	if f.upgrade != nil {
 		f.upgrade.save()
 	}
 }
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -38,6 +38,7 @@
 // state file of a former process; the listener is nil then.
 func (g *Gateway) takeOver(conf *Config) (net.Listener, handover.State) {
 	u := &upgrade{gateway: g, dir: conf.StateDir, identity: handover.Identity{Name: conf.Name, Listen: conf.Listen}}
+	u.saver = handover.NewSaver(u.dir, func(err error) { g.log.Warn("state not saved", zap.Error(err)) })
 	g.upgrade = u
 	peer, ln, state, err := handover.TakeOver(u.dir, u.identity)
 	if err == nil {
@@ -60,7 +61,6 @@
 
 // start is called on the event loop when the gateway begins to serve clients.
 func (u *upgrade) start() {
-	u.saver = handover.NewSaver(u.dir, func(err error) { u.gateway.log.Warn("state not saved", zap.Error(err)) })
 	u.save()
 	if u.predecessor != nil {
 		u.predecessor.Start(u)
