Send calls that must not run twice to MQTT workers with QoS 0

Cause: Link.Send published the calls of every class with QoS 1, "at least once delivery" (MQTT 5, 4.3.2). What a worker has not acknowledged its broker delivers again when it is back (4.4), whatever its expiry, and nobody can take it back. Ruled out: the gateway itself, which sent each call once (400 of 400), and the front, which does not take such calls again.

Change: calls of unsafe and of keyed classes have QoS 0, those of safe ones QoS 1 as before. A message with QoS 0 stands in the same queue until it is written, so that it is withdrawn, and its budget computed, as before. Why this works: with QoS 0 a broker stores nothing that it could deliver again. It costs the broker's word that nobody subscribes; the worker's state tells that but for a missing last will.

--- a/internal/lifecycle/build.go
+++ b/internal/lifecycle/build.go
@@ -42,7 +42,7 @@
 		if err != nil {
 			return err
 		}
-		g.mqttLink = mqtt.NewLink(loop, net, options, replies, list, conf.Seed, updateCore, log.Named("mqtt.workers"))
+		g.mqttLink = mqtt.NewLink(loop, net, options, replies, list, conf.Site.Decide.Classes, conf.Seed, updateCore, log.Named("mqtt.workers"))
 		router := &workerRouter{Pool: g.pool, mqtt: g.mqttLink}
 		workers, updateAll = router, router.addMQTTMembers(updateCore)
 	}
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -83,7 +83,7 @@
 		}
 	}
 	link := mqtt.NewLink(world.Loop, world, mqtt.Options{Broker: "b"}, "r", []mqtt.Worker{{Name: "mqtt-1", Topic: "t", StatusTopic: "s"}},
-		1, record, world.Log())
+		site.Decide.Classes, 1, record, world.Log())
 	router := &workerRouter{Pool: workerlink.New(world.Loop, world, site, 9, world.Log()), mqtt: link}
 	world.Listen("b", func(c *wiretest.Conn) sock.Handler {
 		c.Write(mqtt.Append(nil, mqtt.Connack, 0, []byte{0, 0, 0}))
--- a/internal/wire/mqtt/broker_test.go
+++ b/internal/wire/mqtt/broker_test.go
@@ -118,7 +118,10 @@
 	case Publish:
 		b.published = append(b.published, p)
 		reason := byte(NoSubscribers)
-		if b.publish(Message{Topic: p.Topic, Payload: p.Payload, Props: p.Props}) {
+		message := Message{Topic: p.Topic, Payload: p.Payload, Props: p.Props}
+		if p.QoS() == 0 {
+			b.publishOnce(message)
+		} else if b.publish(message) {
 			reason = Success
 		}
 		if p.QoS() == 1 {
@@ -150,6 +153,15 @@
 	return any
 }
 
+// publishOnce passes a message with QoS 0 to the clients that are connected and have subscribed to it.
+func (b *broker) publishOnce(m Message) {
+	for _, s := range b.sessions {
+		if s.conn != nil && slices.ContainsFunc(s.filters, func(f string) bool { return matches(f, m.Topic) }) && s.id != b.skippedSession {
+			s.conn.conn.Write(AppendPublish(nil, &m, 0, 0))
+		}
+	}
+}
+
 func (b *broker) send(s *clientSession, d *outMessage) {
 	if s.conn == nil {
 		return
--- a/internal/wire/mqtt/gateway_test.go
+++ b/internal/wire/mqtt/gateway_test.go
@@ -123,7 +123,7 @@
 	}
 	onMembers := func(complete bool, members []core.Member) { g.core.ApplyList(complete, members) }
 	g.link = NewLink(g.Loop, g, Options{Broker: "jobs", ClientID: "gw", KeepAlive: 20 * time.Second}, "answers/gw",
-		[]Worker{{Name: Prefix + "w1", Topic: "w1/calls", StatusTopic: "w1/status"}}, uint64(g.incarnation), onMembers, g.Log())
+		[]Worker{{Name: Prefix + "w1", Topic: "w1/calls", StatusTopic: "w1/status"}}, site.Decide.Classes, uint64(g.incarnation), onMembers, g.Log())
 	var err error
 	if g.core, err = core.New(g.Loop, site.Decide, 7, g.link, observe, g.Log()); err != nil {
 		g.T.Fatal(err)
--- a/internal/wire/mqtt/link.go
+++ b/internal/wire/mqtt/link.go
@@ -29,7 +29,10 @@
 	Weight                   float64
 }
 
-// Link sends calls to workers that subscribe at a broker, one QoS 1 message each. It is used on the event loop only.
+// Link sends calls to workers that subscribe at a broker, one message each. It is used on the event loop only.
+//
+// Calls of safe classes are sent with QoS 1, so that the broker says whether anybody subscribes. All others are sent with QoS 0: a broker
+// delivers a message with QoS 1 again to a worker that died before its acknowledgement, however long ago, though the call may have run.
 //
 // Its session is clean: a resumed session would have to send unacknowledged messages again, although their calls may have run.
 // Attempts in flight when the connection is lost end as reset instead.
@@ -39,6 +42,7 @@
 	log         *zap.Logger
 	session     *Session
 	onMembers   func(complete bool, members []core.Member)
+	classes     []decide.Class
 	replyTopic  string // topic on which workers answer
 	incarnation []byte // first 8 bytes of the correlation data; distinguishes answers to a previous process of this gateway
 	workers     map[string]*Worker
@@ -53,10 +57,10 @@
 	pending *Pending
 }
 
-// NewLink returns a link to workers. onMembers is called with changes of the list of workers, in the same form as those of the bulletin.
-func NewLink(loop *core.Loop, dialer sock.Dialer, opts Options, replyTopic string, workers []Worker, seed uint64,
+// NewLink returns a link to workers. classes are those of the site, by the index in a call. onMembers is called with changes of the list of workers, in the same form as those of the bulletin.
+func NewLink(loop *core.Loop, dialer sock.Dialer, opts Options, replyTopic string, workers []Worker, classes []decide.Class, seed uint64,
 	onMembers func(bool, []core.Member), log *zap.Logger) *Link {
-	l := &Link{loop: loop, log: log, onMembers: onMembers, replyTopic: replyTopic, workers: map[string]*Worker{},
+	l := &Link{loop: loop, log: log, onMembers: onMembers, classes: classes, replyTopic: replyTopic, workers: map[string]*Worker{},
 		incarnation: binary.BigEndian.AppendUint64(nil, seed), states: map[string]decide.HostState{},
 		startedAt: map[string]time.Duration{}, inFlight: map[core.Ref]*inFlightAttempt{}}
 	opts.CleanStart, opts.Subscribe, opts.MaxPacket = true, []string{replyTopic}, maxAnswer+maxPacket
@@ -125,9 +129,9 @@
 		message.Props.User = append(fields[:len(fields):len(fields)], Pair{"budget-ms", strconv.FormatInt(budget.Milliseconds(), 10)})
 		return budget >= time.Millisecond
 	}
-	attempt.pending = l.session.PublishRefreshed(message, refresh, func(reason byte, err error) {
+	attempt.pending = l.session.PublishRefreshed(message, l.qosOf(call), refresh, func(reason byte, err error) {
 		if err == nil && reason != NoSubscribers && reason < firstFailure {
-			l.receiver.Wrote(1) // the broker has it, and a subscriber to deliver it to
+			l.receiver.Wrote(1) // the broker has it, with QoS 1 also a subscriber to deliver it to
 		}
 		switch {
 		case err == errLost || err == errStopped: // sessionChanged ends all attempts in flight
@@ -139,6 +143,14 @@
 	})
 }
 
+// qosOf returns the QoS with which a call is published: 1 only if it may run twice.
+func (l *Link) qosOf(call *core.Call) byte {
+	if l.classes[call.Class].Effect == decide.Safe {
+		return 1
+	}
+	return 0
+}
+
 // Cancel gives an attempt up: it withdraws the call, or publishes the cancellation, which the worker may ignore, on the cancel topic.
 func (l *Link) Cancel(host string, ref core.Ref) {
 	attempt, ok := l.inFlight[ref]
--- a/internal/wire/mqtt/publish.go
+++ b/internal/wire/mqtt/publish.go
@@ -9,6 +9,7 @@
 // Pending is a queued message: it waits to be sent or to be acknowledged.
 type Pending struct {
 	message Message
+	qos     byte                // 0: sent once at most, and done as soon as it has been written; 1: sent until it is acknowledged
 	refresh func(*Message) bool // updates message when it is sent; false if it is no longer useful; may be nil
 	id      uint16
 	size    int
@@ -44,13 +45,13 @@
 // Publish queues a message with QoS 1. It is sent when the session is up and the broker accepts more. done is called once, with
 // the broker's reason code or an error, and never from within Publish. Until the message is sent it can be withdrawn.
 func (s *Session) Publish(m Message, done func(reason byte, err error)) *Pending {
-	return s.PublishRefreshed(m, nil, done)
+	return s.PublishRefreshed(m, 1, nil, done)
 }
 
-// PublishRefreshed is Publish of a message that refresh updates when it is sent, however long it has waited. If refresh returns
-// false, the message is no longer useful and is not sent.
-func (s *Session) PublishRefreshed(m Message, refresh func(*Message) bool, done func(reason byte, err error)) *Pending {
-	pending := &Pending{message: m, refresh: refresh, done: done,
+// PublishRefreshed is Publish, with QoS 0 or 1, of a message that refresh updates when it is sent, however long it has waited. If refresh
+// returns false, the message is no longer useful and is not sent. A message with QoS 0 is done, with the reason Success, when it is written.
+func (s *Session) PublishRefreshed(m Message, qos byte, refresh func(*Message) bool, done func(reason byte, err error)) *Pending {
+	pending := &Pending{message: m, qos: qos, refresh: refresh, done: done,
 		size: len(m.Topic) + len(m.Props.Correlation) + len(m.Payload) + 64}
 	limit := maxQueuedBytes
 	if len(m.Payload) == 0 {
@@ -64,7 +65,9 @@
 		s.loop.After(0, func() { done(0, errFull) })
 		return pending
 	}
-	pending.id = s.nextID()
+	if qos > 0 {
+		pending.id = s.nextID()
+	}
 	s.queuedBytes += pending.size
 	s.queue = append(s.queue, pending)
 	s.sendQueued()
@@ -119,6 +122,11 @@
 			continue
 		}
 		s.write(b)
+		if pending.qos == 0 {
+			s.remove(s.sent)
+			s.loop.After(0, func() { pending.done(Success, nil) })
+			continue
+		}
 		s.sent++
 	}
 }
--- a/internal/wire/mqtt/session_test.go
+++ b/internal/wire/mqtt/session_test.go
@@ -41,7 +41,7 @@
 	gw.Advance(2 * time.Second)
 	gw.wantRecords("outcome c1", "served") // the session was restored in time
 	got := decide.Good
-	l := NewLink(gw.Loop, gw, Options{Broker: "nowhere"}, "r", nil, 1, nil, gw.Log())
+	l := NewLink(gw.Loop, gw, Options{Broker: "nowhere"}, "r", nil, nil, 1, nil, gw.Log())
 	l.SetReceiver(outcomeFunc(func(outcome decide.Outcome) { got = outcome }))
 	l.Send(core.Attempt{Host: Prefix + "w9", Call: &core.Call{}})
 	if got != decide.NoConn {
