Let a new process that gets SIGTERM end after its predecessor

Cause: stopAfterCalls asked only for this process's own calls and answers.

Change: it waits for the predecessor too, until its own drain limit. The predecessor's SIGTERM came first, so that its limit passes first. A process that is ending connects to the broker only for outcomes that were left to it.

Result: TestNewProcessEndsAfterItsPredecessor is red without the change ("the new process has ended while its predecessor had a call in flight"), green with it, 4 of 4 with -race. TestOutcomesArePublishedAlthoughBrokerIsAwayAtEnd has a successor that ends as well; it passes with and without.

--- a/internal/lifecycle/broker_away_test.go
+++ b/internal/lifecycle/broker_away_test.go
@@ -54,7 +54,7 @@
 // Calls by MQTT that were acknowledged and ran must have their outcomes, although the broker is away while the process ends: it goes on
 // until the broker is back, or leaves them to a successor that can publish them.
 func TestOutcomesArePublishedAlthoughBrokerIsAwayAtEnd(t *testing.T) {
-	for _, successor := range []successorKind{noSuccessor, olderSuccessor, publishingSuccessor} {
+	for _, successor := range []successorKind{noSuccessor, olderSuccessor, publishingSuccessor, endingSuccessor} {
 		for _, away := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
 			t.Run(fmt.Sprintf("%s,away=%v", successor, away), func(t *testing.T) {
 				t.Parallel()
@@ -71,6 +71,7 @@
 	noSuccessor         successorKind = "restart"
 	olderSuccessor      successorKind = "upgrade to a build that takes no outcomes"
 	publishingSuccessor successorKind = "upgrade"
+	endingSuccessor     successorKind = "upgrade to a process that ends as well"
 )
 
 func endWithoutBroker(t *testing.T, successor successorKind, away time.Duration) {
@@ -94,9 +95,10 @@
 		want[key+" served"] = 1
 	}
 	untilTrue(g, func() bool { return g.core.InFlight() == calls })
+	var next *Gateway
 	if successor != noSuccessor {
 		untilTrue(g, func() bool { return g.upgrade.server != nil })
-		gateways.start(conf)
+		next, _ = gateways.start(conf)
 		untilTrue(g, func() bool { return g.upgrade.successorReady })
 	}
 	if successor == olderSuccessor {
@@ -105,6 +107,9 @@
 	broker.close()
 	untilTrue(g, func() bool { return !g.mqttFront.Up() })
 	onLoop(g, g.drain)
+	if successor == endingSuccessor {
+		onLoop(next, next.drain)
+	}
 	endsAt := time.Duration(gateways.now.Load()) + g.drainLimit() + drainMargin
 	close(worker.release)
 	untilTrue(g, func() bool { return g.mqttFront.Waiting() == calls })
--- a/internal/lifecycle/shutdown.go
+++ b/internal/lifecycle/shutdown.go
@@ -89,13 +89,14 @@
 	g.stopAfterCalls()
 }
 
-// unanswered reports whether calls are in flight, or answers have not left this process.
+// unanswered reports whether calls are in flight or answers have not left this process, or a predecessor runs, which may have such calls
+// and leave outcomes to this process. Whoever watches the gateway's last process takes the end of that for the end of both.
 func (g *Gateway) unanswered() bool {
-	return g.core.InFlight() > 0 || g.front.Unsent() > 0 || g.awaitsBroker()
+	return g.core.InFlight() > 0 || g.front.Unsent() > 0 || g.awaitsBroker() || g.upgrade != nil && g.upgrade.predecessor != nil
 }
 
 // stopAfterCalls is the counterpart of stopAfterClients without a successor. It doesn't wait until clients disconnect: when all calls
-// are answered and the answers read, it closes the connections.
+// are answered and the answers read, and any predecessor has ended, it closes the connections.
 func (g *Gateway) stopAfterCalls() {
 	if g.unanswered() {
 		g.loop.After(10*time.Millisecond, g.stopAfterCalls)
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -177,7 +177,9 @@
 			if u.gateway.node != nil && !u.gateway.terminating {
 				u.gateway.joinFleet(true)
 			}
-			u.gateway.connectBrokers()
+			if !u.gateway.terminating || u.gateway.unpublishedOutcomes() > 0 {
+				u.gateway.connectBrokers()
+			}
 		case u.successor:
 			u.successor, u.successorReady = nil, false
 			u.abandonCallTransfer()
