Wait in tests until a gateway's last state is written before its folder is removed

Seen: TestBansPassBothWaysWithManyStanding failed in 1 of 9 runs of its package (three at a time, -race) and most likely in 1 of 3 before, whose output was not kept: "TempDir RemoveAll cleanup: directory not empty". Its checks had passed.

Cause: the test has many bans saved, and runLoop's cleanup ended the loop but not the goroutine that writes the state file, so that a file was created while the test's folder was removed. In the product a process ends only after Saver.Close.

Change: the cleanup ends the gateway's upgrade as Gateway.stop does, which waits for the last write. No check has changed.

--- a/internal/lifecycle/operator_test.go
+++ b/internal/lifecycle/operator_test.go
@@ -34,7 +34,8 @@
 	return g
 }
 
-// runLoop runs a gateway's event loop until the test ends, and then closes its sockets.
+// runLoop runs a gateway's event loop until the test ends, and then closes its sockets and ends the writes to its folder, which the test
+// removes.
 func runLoop(t *testing.T, g *Gateway) {
 	end, ended := make(chan struct{}), make(chan struct{})
 	go func() {
@@ -53,6 +54,9 @@
 		close(end)
 		g.loop.Post(func() {})
 		<-ended
+		if g.upgrade != nil && !g.upgrade.ended {
+			g.upgrade.stop() // waits until the last state is written
+		}
 		g.net.Stop()
 		if g.operatorNet != nil {
 			g.operatorNet.Stop()
