Name the links to a gateway's other processes once

Need: sendBan, closeLinks and splitLimits each went through predecessor and successor and left out the missing one. Change: one method, upgrade.peers, serves the three; no behaviour is meant to change.

--- a/internal/lifecycle/bans.go
+++ b/internal/lifecycle/bans.go
@@ -8,12 +8,10 @@
 // sendBan notifies the other process that an operator has banned a worker here, or lifted its ban, and saves the state.
 func (u *upgrade) sendBan(id string) {
 	ban, banned := u.gateway.core.Banned(id)
-	for _, p := range []*handover.Peer{u.predecessor, u.successor} {
-		switch {
-		case p == nil:
-		case banned:
+	for _, p := range u.peers() {
+		if banned {
 			p.Ban(ban)
-		default:
+		} else {
 			p.Unban(id)
 		}
 	}
--- a/internal/lifecycle/shutdown.go
+++ b/internal/lifecycle/shutdown.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"quillrail/internal/lifecycle/handover"
 )
 
 // drainLimit returns how long after SIGTERM calls in flight may still be answered. The platform may send SIGKILL callWindow after the
@@ -159,12 +157,7 @@
 // closeLinks writes what is queued for the other process and closes the link to it, which then has the gateway to itself. It calls done
 // on the event loop when that has happened, after limit at the latest.
 func (u *upgrade) closeLinks(limit time.Duration, done func()) {
-	var links []*handover.Peer
-	for _, p := range []*handover.Peer{u.predecessor, u.successor} {
-		if p != nil {
-			links = append(links, p)
-		}
-	}
+	links := u.peers()
 	if len(links) == 0 {
 		done()
 		return
--- a/internal/lifecycle/upgrade.go
+++ b/internal/lifecycle/upgrade.go
@@ -96,11 +96,21 @@
 	}()
 }
 
+// peers returns the links to the other processes of the gateway.
+func (u *upgrade) peers() (links []*handover.Peer) {
+	for _, p := range []*handover.Peer{u.predecessor, u.successor} {
+		if p != nil {
+			links = append(links, p)
+		}
+	}
+	return links
+}
+
 // splitLimits gives each process half of the gateway's worker connections and memory while there are two, and all to a single one.
 // Client connections are not split: the platform limits them for the gateway as a whole.
 func (u *upgrade) splitLimits() {
 	conf, divisor := u.gateway.conf, 1
-	if u.predecessor != nil || u.successor != nil {
+	if len(u.peers()) > 0 {
 		divisor = 2
 	}
 	u.gateway.pool.SetLimit((conf.Sockets - conf.clientSockets() - conf.reservedSockets()) / divisor)
