Write once what tests set up for calls that must not run twice and for stepped clocks

Change: newTestGatewayWithOnce takes the effect and serves TestNeverTwiceOverMQTT too; newSteppedGateways serves the two tests of an end. The comment of mqtt.NewLink is wrapped.

--- a/internal/lifecycle/broker_away_test.go
+++ b/internal/lifecycle/broker_away_test.go
@@ -22,6 +22,15 @@
 	running []*Gateway
 }
 
+// newSteppedGateways returns a worker, a broker and the configuration of a gateway with both, to be started.
+func newSteppedGateways(t *testing.T) (gateways *steppedGateways, worker *workerStub, broker *brokerStub, conf *Config) {
+	worker, addr := startWorker(t)
+	broker = startBroker(t)
+	gateways = &steppedGateways{t: t}
+	gateways.now.Store(int64(1000 * time.Hour))
+	return gateways, worker, broker, upgradableConfig(t, addr, broker)
+}
+
 // start starts a gateway. ended is closed when it ends.
 func (s *steppedGateways) start(conf *Config) (g *Gateway, ended chan struct{}) {
 	s.t.Helper()
@@ -76,11 +85,7 @@
 
 func endWithoutBroker(t *testing.T, successor successorKind, away time.Duration) {
 	const calls = 4
-	worker, addr := startWorker(t)
-	broker := startBroker(t)
-	gateways := &steppedGateways{t: t}
-	gateways.now.Store(int64(1000 * time.Hour))
-	conf := upgradableConfig(t, addr, broker)
+	gateways, worker, broker, conf := newSteppedGateways(t)
 	g, ended := gateways.start(conf)
 	<-broker.subscribed
 	broker.deliver(99, "first") // so that the worker has loaded the function
--- a/internal/lifecycle/predecessor_test.go
+++ b/internal/lifecycle/predecessor_test.go
@@ -8,11 +8,7 @@
 // A new process that gets SIGTERM while its predecessor still answers a call must not end before that one: together they are one gateway,
 // and its supervisor takes the end of the new process for that of both.
 func TestNewProcessEndsAfterItsPredecessor(t *testing.T) {
-	worker, addr := startWorker(t)
-	broker := startBroker(t)
-	gateways := &steppedGateways{t: t}
-	gateways.now.Store(int64(1000 * time.Hour))
-	conf := upgradableConfig(t, addr, broker)
+	gateways, worker, broker, conf := newSteppedGateways(t)
 	old, oldEnded := gateways.start(conf)
 	<-broker.subscribed
 	broker.deliver(1, "open")
--- a/internal/wire/mqtt/identity_test.go
+++ b/internal/wire/mqtt/identity_test.go
@@ -19,11 +19,11 @@
 	g.Run()
 }
 
-// newTestGatewayWithOnce has a class of calls that must not run twice and have no keys.
-func newTestGatewayWithOnce(t *testing.T) *testGateway {
+// newTestGatewayWithOnce has a class "once" besides, of calls with this effect that have no keys.
+func newTestGatewayWithOnce(t *testing.T, effect decide.Effect) *testGateway {
 	site := wiretest.Site()
 	site.Classes = append(site.Classes, "once")
-	site.Decide.Classes = append(site.Decide.Classes, decide.Class{Aim: time.Second, Deadline: 4 * time.Second, Worth: 5, Effect: decide.Unsafe})
+	site.Decide.Classes = append(site.Decide.Classes, decide.Class{Aim: time.Second, Deadline: 4 * time.Second, Worth: 5, Effect: effect})
 	return newTestGatewayAt(t, site)
 }
 
@@ -32,7 +32,7 @@
 // A call that must not run twice and is known by its id alone runs once, although its caller's session sends it again, which the broker
 // delivers as a message of its own: while it is open, after it has ended, and at the process that takes over.
 func TestCallKnownByItsIDRunsOnce(t *testing.T) {
-	gw := newTestGatewayWithOnce(t)
+	gw := newTestGatewayWithOnce(t, decide.Unsafe)
 	gw.publishNamed("once", firstID)
 	gw.publishNamed("once", firstID)
 	gw.workerSilent = true
--- a/internal/wire/mqtt/link.go
+++ b/internal/wire/mqtt/link.go
@@ -57,7 +57,8 @@
 	pending *Pending
 }
 
-// NewLink returns a link to workers. classes are those of the site, by the index in a call. onMembers is called with changes of the list of workers, in the same form as those of the bulletin.
+// NewLink returns a link to workers. classes are those of the site, by the index in a call. onMembers is called with changes of the list of
+// workers, in the same form as those of the bulletin.
 func NewLink(loop *core.Loop, dialer sock.Dialer, opts Options, replyTopic string, workers []Worker, classes []decide.Class, seed uint64,
 	onMembers func(bool, []core.Member), log *zap.Logger) *Link {
 	l := &Link{loop: loop, log: log, onMembers: onMembers, classes: classes, replyTopic: replyTopic, workers: map[string]*Worker{},
--- a/internal/wire/mqtt/never_twice_test.go
+++ b/internal/wire/mqtt/never_twice_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"quillrail/decide"
-	"quillrail/internal/wire/wiretest"
 )
 
 // Calls of an unsafe class must not run twice. The brokers break connections and deliver again, the worker fails, is silent, leaves
@@ -15,10 +14,7 @@
 // execute some calls twice, which shows that the test can detect it.
 func TestNeverTwiceOverMQTT(t *testing.T) {
 	simulate := func(seed uint64, effect decide.Effect) (twice, ran int) {
-		site := wiretest.Site()
-		site.Classes = append(site.Classes, "once")
-		site.Decide.Classes = append(site.Decide.Classes, decide.Class{Aim: time.Second, Deadline: 4 * time.Second, Worth: 5, Effect: effect})
-		gw, rng := newTestGatewayAt(t, site), rand.New(rand.NewPCG(seed, 4))
+		gw, rng := newTestGatewayWithOnce(t, effect), rand.New(rand.NewPCG(seed, 4))
 		gw.worker.onPublish = func(p *Packet) {
 			if gw.workerSilent = rng.IntN(3) == 0; p.Type == Publish && p.Topic == "w1/calls" && !gw.workerSilent {
 				if outcome := []string{"busy", "miss", "error", "ok", "ok", "ok"}[rng.IntN(6)]; outcome != "ok" {
--- a/internal/wire/mqtt/worker_dies_test.go
+++ b/internal/wire/mqtt/worker_dies_test.go
@@ -3,13 +3,15 @@
 import (
 	"testing"
 	"time"
+
+	"quillrail/decide"
 )
 
 // A worker that dies before it has acknowledged a call must not get it again from the broker when it is back: it remembers no keys, and
 // would run the call a second time. Only calls of safe classes may be delivered again.
 func TestCallOfWorkerThatDiesIsNotDeliveredAgain(t *testing.T) {
 	for class, wantRuns := range map[string]int{"once": 1, "command": 1, "read": 2} {
-		gw := newTestGatewayWithOnce(t)
+		gw := newTestGatewayWithOnce(t, decide.Unsafe)
 		gw.workerSilent, gw.workerBroker.dropAcks = true, true
 		key := map[string]string{"command": "k1"}[class]
 		gw.publish(class, key, "c1", 3)
