Judge how busy workers are by how long calls wait there, not by the aim

What callers saw: windows, loads, further copies, hedges and refusals beyond a share followed latency over the aim (0.24, 0.25, 0.4 and 0.7 of it), so a call of much work looked like an overload, and one of little work was none while it waited for several times its work.

Change: the delay of an answer is the time that the call waited at the worker over the time that calls of so much hinted work take without waiting (the lowest level of their mean). A worker, and the fleet, are busy while calls wait for longer than they are served. Before any answer latencies begin as RFC 6298's time-out does. An attempt that may wait for a load has twice the time of the load.

Tests: CallsThatDoNotWaitAreNoOverload takes the place of CallsOfUsualLatencyAreNoOverload: the same two cases and one of a short wait. CallIsNotOverdueWhileItsLoadMayGoOn and DelaysPassToTheNextProcess are new. Tests that set the old measure set the new one; what they check is as before. Two warm up first, since the usual latency has to be known; in the test of zones answers to retries take 20 ms like the others, where they took none.

--- a/decide/attempts.go
+++ b/decide/attempts.go
@@ -6,7 +6,6 @@
 	"maps"
 	"math"
 	"slices"
-	"time"
 )
 
 // sweep runs on the timer: leases, worker health, overdue calls, held requests that can't be served in time.
@@ -107,16 +106,6 @@
 	}
 }
 
-// overdueAfter returns the latency from which on an attempt is overdue.
-func (r *Router) overdueAfter(req *request, a *attempt) time.Duration {
-	c := r.classes[req.class]
-	wait := c.mean + overdueDevs*c.dev
-	if !a.warm {
-		wait += ms(r.settings.Classes[req.class].Deadline) / 2 // it may be waiting for a load
-	}
-	return time.Duration(wait * float64(time.Millisecond))
-}
-
 func (r *Router) retractOthers(req *request, except int) {
 	for i := range req.attempts {
 		if a := &req.attempts[i]; i != except && !a.done && !a.retracted && r.settings.Cancelling {
--- a/decide/capacity_test.go
+++ b/decide/capacity_test.go
@@ -43,19 +43,19 @@
 }
 
 // When a fleet whose memory was full was overloaded, each load evicted a copy in use, which was then loaded again
-// elsewhere. The load limit is therefore lower while answers are late.
+// elsewhere. The load limit is therefore lower while calls wait at workers for long.
 func TestLateAnswersLowerLoadLimit(t *testing.T) {
-	for late, most := range map[float64]int{0: 8, reserveLatency + 0.01: 8 / workersPerLoad} {
+	for delay, most := range map[float64]int{0: 8, busyDelay + 0.01: 8 / workersPerLoad} {
 		f := newFake(t, testSettings(), 8)
-		f.router.lateness = late
+		f.router.delay, f.router.delayedAt = delay, f.now
 		for i := range 30 {
 			f.call(0, 0, fmt.Sprint("fn", i))
 		}
 		if n := len(f.sent); n != most {
-			t.Errorf("answers take %v of the aim: %d loads begun at eight workers, want %d", late, n, most)
+			t.Errorf("calls wait for %v times as long as they are served: %d loads begun at eight workers, want %d", delay, n, most)
 		}
 		// Held calls count as overload and yet may load their functions: else they would be held for good.
-		if late == 0 && !f.router.overloaded() {
+		if delay == 0 && !f.router.overloaded() {
 			t.Error("22 held calls do not count as overload")
 		}
 	}
@@ -85,7 +85,7 @@
 		f.advance(sec)
 		for _, w := range f.router.ready {
 			if overloaded {
-				w.latencyRatio = 1
+				w.delay = fullDelay
 			}
 		}
 		for i := range 50 { // the allowance here is 10/s, twice this gateway's even part, and 3 s of it are saved up
@@ -113,19 +113,19 @@
 	}
 }
 
-func TestWindowShrinksOnLateAnswersAndGrowsBack(t *testing.T) {
+func TestWindowShrinksWhileCallsWaitAndGrowsBack(t *testing.T) {
 	f := newFake(t, testSettings(), 1)
 	worker := f.router.ready[0]
 	for range 60 {
 		f.now += fullPause + 1
-		f.router.resizeWindow(worker, 0.9)
+		f.router.resizeWindow(worker, 1.1*busyDelay)
 	}
 	if worker.window != minWindow {
-		t.Fatalf("window %v after answers near the aim, want %v", worker.window, minWindow)
+		t.Fatalf("window %v while calls wait for longer than they are served, want %v", worker.window, minWindow)
 	}
 	worker.warmInflight = 3
 	for range 60 {
-		f.router.resizeWindow(worker, 0.1)
+		f.router.resizeWindow(worker, 0.9*busyDelay)
 	}
 	if worker.window <= minWindow {
 		t.Error("the window does not grow back after prompt answers")
@@ -147,7 +147,7 @@
 	for id := f.lastID; id > f.lastID-3; id-- {
 		f.reportResult(f.sendsOf(id)[0], Good, FoundWarm)
 	}
-	f.router.lateness, f.router.ready[0].window = 0.5, 10
+	f.router.delay, f.router.delayedAt, f.router.ready[0].window = fullDelay, f.now, 10
 	var lowWorth []uint64
 	for range 4 {
 		lowWorth = append(lowWorth, f.call(0, 0, "fn"))
@@ -219,7 +219,7 @@
 	for _, w := range f.router.ready {
 		p := f.router.ensurePlacement(f.router.funcs["fn"], w)
 		p.sentAt, p.loaded = f.now, true
-		w.deficit[0], w.latencyRatio = 1e6, 0
+		w.deficit[0], w.delay = 1e6, 0
 	}
 	// So many calls give the function several homes.
 	f.router.funcs["fn"].recentCalls, f.router.recentCalls, f.router.calledAt, f.router.funcs["fn"].usedAt = 3000, 3000, f.now, f.now
--- a/decide/choose.go
+++ b/decide/choose.go
@@ -61,7 +61,8 @@
 
 // chooseWarm returns the best warm worker and whether own calls leave it a free lane. If a function has
 // several homes, all count as warm, since other gateways keep copies there. The calls of other gateways in
-// flight are estimated from latency.
+// flight are estimated from the delay: where calls wait as long as they are served, as many wait as there are
+// lanes.
 func (r *Router) chooseWarm(req *request, strict bool) (best *worker, free bool) {
 	req.fn.homes = r.homeCount(req)
 	homes, ranked := min(req.fn.homes, r.index.MaxHomes(req.fn.hash)), 0
@@ -69,7 +70,8 @@
 	fresh, freshScore := (*worker)(nil), math.MaxInt // the least busy home without a known copy
 	weigh := func(w *worker, p *placement) {
 		homes--
-		score := int(w.inflightWork/(workPerCall*max(1, r.meanWork)) + callsPerAim*min(2, w.latencyRatio))
+		calls := w.inflightWork/max(1, r.meanWork) + float64(req.fn.lanes)*w.waiting()
+		score := int(calls / workPerCall)
 		switch {
 		case p == nil || !p.loaded && p.inflight == 0:
 			if w.deficit[req.tenant] > 0 && score < freshScore {
@@ -139,40 +141,29 @@
 func (r *Router) homeCount(req *request) int {
 	gatewayRate := min(r.recentCalls/r.callFadeTime.Seconds(), cmp.Or(r.evenAllowance, math.MaxFloat64))
 	share := (req.fn.recentCalls - 1) / r.recentCalls
-	latency := min(r.classes[req.class].mean, ms(r.settings.Classes[req.class].Aim)/2) / 1000
-	busyLanes := share * gatewayRate * float64(r.settings.Gateways) * latency
+	service := r.classes[req.class].service() / 1000 // waiting takes no lane
+	busyLanes := share * gatewayRate * float64(r.settings.Gateways) * service
 	wanted := max(busyLanes/(laneUseShare*float64(req.fn.lanes)), share*float64(len(r.ready))/homeLoadShare)
 	return int(math.Ceil(min(busyLanes/minHomeUse, r.homeFactor*wanted)))
 }
 
-// copyStatus reports whether a usable copy is assumed, and whether one is being loaded: one load is enough.
-func (r *Router) copyStatus(req *request) (warm, loading bool) {
-	for _, p := range req.fn.placements {
-		if r.usable(p.worker) && req.permits(p.worker) && !p.worker.health[req.class].ejected &&
-			r.believedWarm(p) {
-			warm, loading = true, loading || !p.loaded && p.inflight > 0
-		}
-	}
-	return warm, loading
-}
-
 // chooseCold returns the worker for a new load, the same at all gateways: the first in rank with a positive
 // counter and not far more calls in flight than the mean. If no counter is positive, all of these gain Qw.
 func (r *Router) chooseCold(req *request, strict, additional bool) *worker {
 	if !r.anyPositive(req.tenant) {
 		r.creditAll(req.tenant, workerQuantum)
 	}
-	// Fewer loads may be in flight while the function store is slow, and while warm calls are late: then a
-	// new copy evicts one in use, whose reload evicts another. In an overload only a function's first copy
+	// Fewer loads may be in flight while the function store is slow, and while warm calls wait: then a new
+	// copy evicts one in use, whose reload evicts another. In an overload only a function's first copy
 	// is loaded, even if held calls are the overload, since they wait for it.
 	if few := max(2, len(r.ready)/workersPerLoad); float64(r.loading) >= r.loadFactor*float64(len(r.ready)) ||
-		additional && r.overloaded() || r.lateness > reserveLatency && r.loading >= few {
+		additional && r.overloaded() || r.callsWait() && r.loading >= few {
 		return nil
 	}
 	bound := inflightBound*float64(r.inflight+1)/float64(max(1, len(r.ready))) + 2
 	var spare *worker
 	for i, w := 1, r.rankedWorker(req, 0); w != nil; i, w = i+1, r.rankedWorker(req, i) {
-		if float64(w.loads) >= loadsPerWorker*r.loadFactor || additional && w.latencyRatio > overloadRatio ||
+		if float64(w.loads) >= loadsPerWorker*r.loadFactor || additional && w.delay > busyDelay ||
 			!r.eligible(req, w, strict) || r.believedWarm(req.fn.placementAt(w)) {
 			continue
 		}
@@ -194,11 +185,6 @@
 	return w
 }
 
-// believedWarm reports whether a copy may still be assumed: until KeepAlive after this gateway's last send.
-func (r *Router) believedWarm(p *placement) bool {
-	return p != nil && (p.inflight > 0 || r.settings.KeepAlive == 0 || r.now-p.sentAt < r.settings.KeepAlive)
-}
-
 // charge sets what an attempt has taken from the tenant's counters to took ms: the class's mean when it is
 // sent, its latency when it ends. Qu is shared out among held requests, so only these draw on it.
 func (r *Router) charge(tenant int, a *attempt, took float64) {
--- a/decide/choose_test.go
+++ b/decide/choose_test.go
@@ -108,7 +108,7 @@
 		id := f.call(0, 0, "fn")
 		f.advance(900 * time.Millisecond)
 		f.reportResult(f.sendsOf(id)[0], Good, FoundWarm)
-		f.router.workers[home].latencyRatio = 0
+		f.router.workers[home].delay = 0
 	}
 	f.call(0, 0, "fn")
 	f.router.funcs["fn"].recentCalls = 1 // too few for another home
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -8,7 +8,7 @@
 )
 
 // Tuning constants. Times that depend on the work are learnt from answers; the constants are ratios, counts
-// and intervals. A "latency ratio" is a latency divided by the aim of its class (Class.Aim).
+// and intervals.
 const (
 	sweepInterval = 10 * time.Millisecond // timer for held requests, overdue attempts and worker health
 	workerQuantum = 24000                 // Qw of D2LPM: ms credited to a tenant's counter at a worker
@@ -19,23 +19,14 @@
 	// A worker that answers FULL gets no calls for this long. Also the least time between window reductions.
 	fullPause = 200 * time.Millisecond
 
-	reserveLatency  = 0.24 // above this mean latency ratio part of a window is reserved for calls worth more
-	unreservedShare = 0.2  // share of a worker's window that the other calls may then fill
-	shrinkLatency   = 0.4  // a worker's window grows below this latency ratio and shrinks above it
-	maxTenantSkew   = 2    // a gateway may see this multiple of its even share of a tenant's calls
-	allowanceBurst  = 3    // seconds of a tenant's allowance that may be saved up
-	maxOverdueShare = 0.4  // with more of the warm calls overdue, copies are no longer assumed to be loaded
-	overloadRatio   = 0.25 // the fleet counts as overloaded above this mean latency ratio of its workers
-	latencyGain     = 0.3  // weight of an answer in the running latency ratio of its worker
-	callsPerAim     = 10   // a latency ratio of 1 counts as this many calls of other gateways at the worker
-	giveUpDevs      = 3    // a request not sent yet is expected to take mean + this many deviations,
-	giveUpAimShare  = 0.85 // at most this share of the aim; if it would end after the aim, it is given up
-	hintWeight      = 0.7  // weight of a call's rough work hint against the mean of its class
-	workPerCall     = 0.5  // hinted work in flight that counts as one call, in multiples of the mean work
-	normalWorkShare = 0.15 // above this share of the aim the mean work of a class raises the expected latency
-
-	// The fleet also counts as overloaded above this running latency ratio of own answers (FULL counts as 1).
-	overloadLateness = 0.7
+	unreservedShare = 0.2 // share of a busy worker's window that leaves room for calls worth more
+	maxTenantSkew   = 2   // a gateway may see this multiple of its even share of a tenant's calls
+	allowanceBurst  = 3   // seconds of a tenant's allowance that may be saved up
+	maxOverdueShare = 0.4 // with more of the warm calls overdue, copies are no longer assumed to be loaded
+	delayGain       = 0.3 // weight of an answer in the running delay of its worker
+	giveUpAimShare  = 0.85
+	hintWeight      = 0.7 // weight of a call's rough work hint against the mean of its class
+	workPerCall     = 0.5 // hinted work in flight that counts as one call, in multiples of the mean work
 
 	hedgeDevs    = 2                // at a worker that lost calls, hedge after mean + this many deviations
 	lossFadeTime = 10 * time.Second // time over which the count of calls lost at a worker fades
@@ -65,8 +56,8 @@
 	hedgeShare, hedgeBurst       = 0.2, 10 // hedges allowed per arriving call, and hedges saved up
 	minHomeFactor, maxHomeFactor = 0.1, 2.0
 
-	// Loads that take at most slowLoadFactor times their hint let the number of loads rise, up to
-	// maxLoadFactor times the usual number.
+	// A load that takes longer than slowLoadFactor times its hint is slow. Quicker ones let the number of
+	// loads rise, up to maxLoadFactor times the usual number.
 	slowLoadFactor, maxLoadFactor = 2, 8
 )
 
@@ -98,7 +89,8 @@
 	servedRate       float64         // own calls served per second, as of servedAt, fading
 	evenAllowance    float64         // even share of all tenants' allowances, calls per second
 	departedWeight   float64         // workers that departed at listedAt, fading as servedRate does
-	lateness         float64         // running latency ratio of own answers, over all workers
+	delay            float64         // running delay of own answers, at all workers (see classStat.record)
+	loadTime         float64         // running mean of the time of calls that began a load, in ms
 	meanWork         float64         // running mean of the hinted work of a call, in ms
 	recentCalls      float64         // own calls as of calledAt, fading over callFadeTime
 	overdueShare     float64         // share of recent warm calls that became overdue
@@ -107,6 +99,7 @@
 	homeFactor       float64         // multiple of the wanted number of homes, from what memory allows
 
 	servedAt, calledAt, prunedAt time.Duration
+	delayedAt                    time.Duration // when the last answer counted in delay came
 	listedAt                     time.Duration
 	callFadeTime, restrictedAt   time.Duration // restrictedAt: last arrival of a call restricted to zones
 }
@@ -166,5 +159,3 @@
 	hedged     bool    // a hedge (a second attempt) was tried while this one was in flight
 	overtaken  int     // calls sent to the same copy later that have been answered
 }
-
-type classStat struct{ mean, dev, work float64 } // ms: warm latency (mean, deviation); mean work hint
--- a/decide/events.go
+++ b/decide/events.go
@@ -18,7 +18,8 @@
 	tenants := max(1, len(s.Tenants))
 	r := &Router{settings: s, gateway: gw, rng: rand.New(rand.NewPCG(seed, 1)),
 		listing: newListing(len(s.Classes), tenants), funcs: map[string]*function{},
-		byID: map[uint64]*request{}, homeFactor: 1, loadFactor: 1, hedgeTokens: hedgeBurst,
+		byID: map[uint64]*request{}, homeFactor: 1, loadFactor: 1, loadTime: initialLoadTime,
+		hedgeTokens:  hedgeBurst,
 		callFadeTime: max(rateFadeTime, time.Duration(keepAliveShare*float64(s.KeepAlive)))}
 	r.heldDeficit = make([]float64, tenants)
 	r.tokens = make([]float64, tenants)
@@ -26,8 +27,8 @@
 	for _, t := range s.Tenants {
 		r.evenAllowance += t.PerSec / float64(max(1, s.Gateways))
 	}
-	for _, c := range s.Classes {
-		r.classes = append(r.classes, classStat{mean: ms(c.Aim) / 4, dev: ms(c.Aim) / 8})
+	for range s.Classes {
+		r.classes = append(r.classes, classStat{mean: initialMean, dev: initialDev})
 	}
 	gw.WakeAt(sweepInterval, "sweep")
 	if s.Subscribe {
@@ -174,11 +175,14 @@
 	r.dispatch(req)
 }
 
+// unknownWork stands for the work of a call, in ms, while no call has had a hint: then all count the same.
+const unknownWork = 1.0
+
 // estimateWork returns the core time that a call probably takes, in ms, from its rough hint and the mean of
 // its class. It also updates the running means of the class and of all calls.
 func (r *Router) estimateWork(e Arrival) float64 {
 	c := &r.classes[e.Class]
-	work := cmp.Or(max(0, ms(e.Work)), c.work, c.mean)
+	work := cmp.Or(max(0, ms(e.Work)), c.work, r.meanWork, unknownWork)
 	c.work = cmp.Or(c.work, work)
 	c.work += meanGain / 2 * (work - c.work)
 	r.meanWork = cmp.Or(r.meanWork, work) + meanGain/2*(work-cmp.Or(r.meanWork, work))
@@ -203,14 +207,6 @@
 	return false
 }
 
-// overloaded reports whether more requests are held than there are ready workers, or the mean latency ratio
-// of the ready workers is above overloadRatio, or recent answers were late or Full (lateness). Lateness shows
-// an overload also at low rates, when most workers have not answered yet and so keep the mean ratio low.
-func (r *Router) overloaded() bool {
-	return len(r.held) > len(r.ready) || r.latencySum > overloadRatio*float64(len(r.ready)) ||
-		r.lateness > overloadLateness
-}
-
 func (r *Router) onResult(e Result) {
 	req := r.byID[e.ID]
 	if req == nil || e.Attempt < 0 || e.Attempt >= len(req.attempts) || req.attempts[e.Attempt].done {
--- a/decide/evidence_test.go
+++ b/decide/evidence_test.go
@@ -146,26 +146,34 @@
 	}
 	overloaded, id, home := unansweredCall(t, 0, 0)
 	overloaded.router.workers[home].losses, overloaded.router.workers[home].lossAt = minLosses+1, overloaded.now
-	overloaded.router.lateness = 1
+	overloaded.router.delay, overloaded.router.delayedAt = fullDelay, overloaded.now+sec
 	if overloaded.advance(sec); len(overloaded.sendsOf(id)) != 1 {
 		t.Error("a hedge was sent under overload")
 	}
 }
 
-// Calls that take as long as their work hints say are no overload, even if that is a large part of the aim.
-func TestCallsOfUsualLatencyAreNoOverload(t *testing.T) {
+// Calls that take as long as calls with so much work take without waiting are no overload, however long that is. Calls
+// that wait at workers for longer are one.
+func TestCallsThatDoNotWaitAreNoOverload(t *testing.T) {
 	for _, c := range []struct {
 		work, took time.Duration
 		overloaded bool
-	}{{350 * time.Millisecond, 350 * time.Millisecond, false}, {100 * time.Millisecond, 350 * time.Millisecond, true}} {
+	}{{1750 * time.Millisecond, 1750 * time.Millisecond, false}, {100 * time.Millisecond, 250 * time.Millisecond, true},
+		{100 * time.Millisecond, 150 * time.Millisecond, false}} {
 		f := newFake(t, testSettings(), 1)
 		f.warmUp(0, "fn")
-		for range 40 {
+		call := func(work, took time.Duration) {
 			f.lastID++
-			f.handle(Arrival{ID: f.lastID, Function: "fn", TTL: 4 * sec, Lanes: 2, Work: c.work})
-			f.advance(c.took)
+			f.handle(Arrival{ID: f.lastID, Function: "fn", TTL: 4 * sec, Lanes: 2, Work: work})
+			f.advance(took)
 			f.reportResult(f.lastSend(), Good, FoundWarm)
 		}
+		for range 40 { // what a call takes without waiting
+			call(100*time.Millisecond, 100*time.Millisecond)
+		}
+		for range 40 {
+			call(c.work, c.took)
+		}
 		if f.router.overloaded() != c.overloaded {
 			t.Errorf("work hint %v, took %v: overloaded %v, want %v", c.work, c.took, f.router.overloaded(), c.overloaded)
 		}
--- a/decide/health.go
+++ b/decide/health.go
@@ -19,7 +19,7 @@
 // wait.
 func (r *Router) mustYield(req *request, w *worker) bool {
 	forRestricted := len(req.zones) == 0 && r.restrictedAt > 0 && r.now-r.restrictedAt < rateFadeTime
-	return r.lateness > reserveLatency && float64(w.warmInflight) >= unreservedShare*w.window &&
+	return r.callsWait() && float64(w.warmInflight) >= unreservedShare*w.window &&
 		(forRestricted ||
 			slices.ContainsFunc(r.settings.Classes, func(c Class) bool { return c.Worth > req.worth }))
 }
@@ -75,6 +75,7 @@
 		r.servedRate, r.servedAt = r.recentRate()+1/rateFadeTime.Seconds(), r.now
 		growth := homeGrowth
 		if e.Note == BeganLoad { // memory holds fewer copies than assumed; a quick load raises the load limit
+			r.loadTime += meanGain * (took - r.loadTime)
 			growth *= homeShrink
 			if r.loadFactor = min(maxLoadFactor, r.loadFactor+meanGain); r.homeFactor < 1 ||
 				took > slowLoadFactor*(req.loadHint+req.workHint) {
@@ -87,15 +88,14 @@
 		if e.Note == FoundWarm || !r.settings.MarksCold {
 			r.overdueShare -= 2 * meanGain * r.overdueShare
 			p.confirmedAt = max(p.confirmedAt, a.sentAt)
-			c.dev += meanGain / 2 * (math.Abs(took-c.mean) - c.dev)
-			c.mean += meanGain / 2 * (took - c.mean)
-			ratio := took / max(ms(r.settings.Classes[req.class].Aim), c.work/normalWorkShare)
-			r.lateness += meanGain / 3 * (min(2, ratio) - r.lateness)
-			r.resizeWindow(w, ratio)
+			if delay, known := c.record(took, cmp.Or(req.workHint, c.work, unknownWork), r.now); known {
+				r.recordDelay(delay)
+				r.resizeWindow(w, delay)
+			}
 		}
 		r.markLoaded(p)
 	case Full:
-		r.lateness += meanGain / 3 * (1 - r.lateness)
+		r.recordDelay(fullDelay)
 		w.fullUntil = r.now + r.pauseAfterFull(w)
 		if !p.loaded && p.inflight == 0 || r.listSilent && w.inflight == 0 { // in silence it may be draining
 			req.fn.drop(w)
@@ -134,10 +134,11 @@
 	}
 }
 
-// resizeWindow adapts the window of own calls at a worker, to prevent queues in which every call is late.
-func (r *Router) resizeWindow(w *worker, ratio float64) {
-	r.update(w, func(u *usage) { u.latencyRatio += latencyGain * (ratio - u.latencyRatio) })
-	if w.latencyRatio < shrinkLatency {
+// resizeWindow takes in the delay of a call at a worker, and adapts the window of own calls there: it shrinks
+// while calls wait for longer than they are served, and grows otherwise.
+func (r *Router) resizeWindow(w *worker, delay float64) {
+	r.update(w, func(u *usage) { u.delay += delayGain * (delay - u.delay) })
+	if w.delay < busyDelay {
 		w.window = math.Min(maxWindow, w.window+0.5)
 	} else if r.now-w.shrunkAt > fullPause {
 		w.shrunkAt = r.now
--- a/decide/homes_test.go
+++ b/decide/homes_test.go
@@ -17,6 +17,12 @@
 		settings.Gateways, settings.Orders = 100, false // with orders a home is used only once its copy is loaded
 		f := newFake(t, settings, 30)
 		f.router.rng = rand.New(rand.NewPCG(seed, 1))
+		for range minLatencySamples { // the usual latency of a call
+			f.warmUp(0, "usual")
+			id := f.call(0, 0, "usual")
+			f.advance(50 * time.Millisecond)
+			f.reportResult(f.sendsOf(id)[0], Good, FoundWarm)
+		}
 		hotCalls := map[string]int{} // by worker
 		for i := range 150 {
 			fn := "hot"
@@ -24,7 +30,7 @@
 				fn = fmt.Sprint("rare", i)
 			}
 			id := f.call(0, 0, fn)
-			f.advance(200 * time.Millisecond) // so late that the other homes count as less loaded
+			f.advance(90 * time.Millisecond) // so late that the other homes count as less loaded
 			f.reportResult(f.sendsOf(id)[0], Good, FoundWarm)
 			if hotCalls[f.sendsOf(id)[0].host]++; fn != "hot" {
 				hotCalls[f.sendsOf(id)[0].host]--
@@ -89,7 +95,7 @@
 	fn := f.router.funcs["fn"]
 	makeHot := func() { fn.recentCalls, f.router.recentCalls, f.router.calledAt, fn.usedAt = 3000, 3000, f.now, f.now }
 	makeHot()
-	f.router.workers[home].latencyRatio = 0.7 // busier than the others
+	f.router.workers[home].delay = 0.9 // busier than the others
 	orders := func() (n int) {
 		for _, action := range f.actions {
 			if strings.Contains(action, " order ") {
@@ -114,30 +120,30 @@
 	if id := f.call(0, 0, "fn"); f.sendsOf(id)[0].host != next {
 		t.Error("the copy that was ordered is not used")
 	}
-	f.router.workers[next].latencyRatio, f.router.workers[home].latencyRatio = 0.35, 0.35
+	f.router.workers[next].delay, f.router.workers[home].delay = 0.9, 0.9
 	if id := f.call(0, 0, "fn"); f.sendsOf(id)[0].host == home || f.sendsOf(id)[0].host == next || orders() != 1 {
 		t.Errorf("sent to %s with %d orders; want a load by the call at the third home, since no order is left",
 			f.sendsOf(id)[0].host, orders())
 	}
 }
 
-// In a fleet whose answers take a third of the aim, copies for a hot function's further homes took cores, memory and
-// function store capacity from calls. No such copy is ordered or loaded until answers are prompt again.
+// In a fleet whose calls wait for longer than they are served, copies for a hot function's further homes took cores,
+// memory and function store capacity from calls. No such copy is ordered or loaded until calls wait less again.
 func TestBusyFleetGetsNoFurtherCopies(t *testing.T) {
-	for ratio, ordered := range map[float64]bool{0.32: false, 0.18: true} {
+	for delay, ordered := range map[float64]bool{1.1 * busyDelay: false, 0.8 * busyDelay: true} {
 		f := newFake(t, testSettings(), 3)
 		home := f.warmUp(0, "fn")
 		fn := f.router.funcs["fn"]
 		fn.recentCalls, f.router.recentCalls, f.router.calledAt, fn.usedAt = 3000, 3000, f.now, f.now
 		for _, w := range f.router.ready {
-			w.latencyRatio = ratio
+			w.delay = delay
 		}
-		f.router.workers[home].latencyRatio += 0.05 // the other homes count as less loaded
+		f.router.workers[home].delay += 0.3 // the other homes count as less loaded
 		f.router.workers[home].deficit[0] = -1
 		n := len(f.actions)
 		id := f.call(0, 0, "fn")
 		if f.sendsOf(id)[0].host != home || strings.Contains(strings.Join(f.actions[n:], " "), "order") != ordered {
-			t.Errorf("answers take %v of the aim: want a call to %s and an order for another copy: %v; got %v", ratio, home,
+			t.Errorf("calls wait for %v times as long as they are served: want a call to %s and an order for another copy: %v; got %v", delay, home,
 				ordered, f.actions[n:])
 		}
 	}
@@ -149,7 +155,7 @@
 	home := f.warmUp(0, "fn")
 	fn := f.router.funcs["fn"]
 	fn.recentCalls, f.router.recentCalls, f.router.calledAt, fn.usedAt = 3000, 3000, f.now, f.now
-	f.router.workers[home].latencyRatio = 0.45
+	f.router.workers[home].delay = 0.9
 	f.call(0, 0, "fn")
 	other := map[string]string{"w0": "w1", "w1": "w0"}[home]
 	f.handle(Loaded{Host: other, Function: "fn", Outcome: Full})
@@ -217,7 +223,13 @@
 		p.sentAt, p.loaded = f.now, true
 		w.deficit[0] = 1e6
 	}
+	for range minLatencySamples { // the usual latency of a call
+		id := f.call(0, 0, "fn")
+		f.advance(50 * time.Millisecond)
+		f.reportResult(f.sendsOf(id)[0], Good, FoundWarm)
+	}
 	late := f.router.ready[1]
+	f.router.now = f.now
 	f.router.learn(&request{fn: fn}, &attempt{worker: late, placement: fn.placementAt(late)}, Result{Outcome: Good, Note: FoundWarm, Took: 2 * sec})
 	for range 12 {
 		id := f.call(0, 0, "fn")
--- /dev/null
+++ b/decide/latency_test.go
@@ -0,0 +1,62 @@
+package decide
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// A call that loads its function is not overdue while a load as long as the call tells may still go on: its worker is
+// well, and others would only load the same function again.
+func TestCallIsNotOverdueWhileItsLoadMayGoOn(t *testing.T) {
+	f := newFake(t, testSettings(), 4)
+	f.lastID++
+	f.handle(Arrival{ID: f.lastID, Function: "fn", TTL: 8 * sec, Lanes: 2, LoadTime: 3 * sec})
+	f.advance(4 * sec)
+	if w := f.router.workers[f.lastSend().host]; w.health[0].ejectedUntil != 0 || len(f.sent) != 1 {
+		t.Errorf("ejected until %v after %d sends, want one send to a worker that is not ejected", w.health[0].ejectedUntil, len(f.sent))
+	}
+	f.advance(3500 * time.Millisecond)
+	if w := f.router.workers[f.sent[0].host]; w.health[0].ejectedUntil == 0 {
+		t.Error("the worker is not ejected though no load takes so long")
+	}
+}
+
+// The next process of a gateway knows from the first answer on how long calls wait, also where the process before it was
+// an earlier version, whose snapshot has shares of a wanted latency: a busy fleet stays busy, an idle one idle.
+func TestDelaysPassToTheNextProcess(t *testing.T) {
+	for _, busy := range []bool{false, true} {
+		old := newFake(t, testSettings(), 2)
+		old.warmUp(0, "fn")
+		answer := func(f *fakeGateway, took time.Duration) {
+			f.lastID++
+			f.handle(Arrival{ID: f.lastID, Function: "fn", TTL: 4 * sec, Lanes: 2, Work: 100 * time.Millisecond})
+			f.advance(took)
+			f.reportResult(f.lastSend(), Good, FoundWarm)
+		}
+		took := 100 * time.Millisecond
+		for i := range 100 {
+			if busy && i > 30 {
+				took = 300 * time.Millisecond
+			}
+			answer(old, took)
+		}
+		next := newFake(t, testSettings(), 0)
+		next.now = old.now
+		if err := next.router.Restore(old.router.Snapshot(), next.now); err != nil {
+			t.Fatal(err)
+		}
+		next.handle(List{Whole: true, Hosts: []Host{{Name: "w0"}, {Name: "w1", Zone: 1}}})
+		for range 5 {
+			answer(next, took)
+		}
+		if next.router.overloaded() != busy || old.router.overloaded() != busy {
+			t.Errorf("busy %v: old process overloaded: %v, next one: %v", busy, old.router.overloaded(), next.router.overloaded())
+		}
+	}
+	for _, share := range []float64{0, 0.25, 0.5, 1, 2} { // as versions up to eaea51e1 hand over
+		if delay := delayOf(share); math.IsNaN(delay) || delay < 0 || delay > longestDelay+1e-9 || delayShare(delay) > share+1e-6 {
+			t.Errorf("a share of %v is a delay of %v, want 0 to %v", share, delay, longestDelay)
+		}
+	}
+}
--- a/decide/listing.go
+++ b/decide/listing.go
@@ -30,7 +30,7 @@
 	window       float64 // how many attempts may be in flight at loaded copies
 	losses       float64 // calls whose hedge was answered first, as of lossAt, fading
 	lossAt       time.Duration
-	latencyRatio float64 // running latency ratio of warm calls
+	delay        float64 // running delay of warm calls (see classStat.record)
 	shrunkAt     time.Duration
 	failedAt     time.Duration // first failure since its last good answer, or 0
 	fullUntil    time.Duration // it gets no calls until then, after it answered FULL
@@ -56,7 +56,7 @@
 	unusedReady      int       // number of ready workers that share unused
 	inflight         int       // sum of inflight over the ready workers
 	loading          int       // sum of loads over the ready workers
-	latencySum       float64   // sum of latencyRatio over the ready workers
+	delaySum         float64   // sum of delay over the ready workers
 	positiveDeficits []int     // per tenant: ready used workers with a positive counter
 	suspects         []*worker // workers that may be ejected for a class
 	departed         []*worker // workers that have left the list since the last prune
@@ -87,13 +87,16 @@
 	}
 }
 
+// waiting returns the time for which calls wait at the worker, in multiples of the time that they are served.
+func (u *usage) waiting() float64 { return max(0, u.delay) }
+
 // addToSums adds a ready worker to the sums with n = 1, and removes it with n = -1.
 func (l *listing) addToSums(w *worker, n int) {
 	if w.usage == l.unused {
 		l.unusedReady += n
 		return
 	}
-	l.inflight, l.loading, l.latencySum = l.inflight+n*w.inflight, l.loading+n*w.loads, l.latencySum+float64(n)*w.latencyRatio
+	l.inflight, l.loading, l.delaySum = l.inflight+n*w.inflight, l.loading+n*w.loads, l.delaySum+float64(n)*w.delay
 	for t, d := range w.deficit {
 		if d > 0 {
 			l.positiveDeficits[t] += n
--- a/decide/loads.go
+++ b/decide/loads.go
@@ -29,6 +29,22 @@
 	return nil
 }
 
+// believedWarm reports whether a copy may still be assumed: until KeepAlive after this gateway's last send.
+func (r *Router) believedWarm(p *placement) bool {
+	return p != nil && (p.inflight > 0 || r.settings.KeepAlive == 0 || r.now-p.sentAt < r.settings.KeepAlive)
+}
+
+// copyStatus reports whether a usable copy is assumed, and whether one is being loaded: one load is enough.
+func (r *Router) copyStatus(req *request) (warm, loading bool) {
+	for _, p := range req.fn.placements {
+		if r.usable(p.worker) && req.permits(p.worker) && !p.worker.health[req.class].ejected &&
+			r.believedWarm(p) {
+			warm, loading = true, loading || !p.loaded && p.inflight > 0
+		}
+	}
+	return warm, loading
+}
+
 // markLoaded records that a copy is loaded: calls that waited for it are in execution from now on.
 func (r *Router) markLoaded(p *placement) {
 	if !p.loaded {
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -77,7 +77,7 @@
 func (r *Router) Snapshot() *Snapshot {
 	snap := &Snapshot{At: r.now, HeldDeficit: slices.Clone(r.heldDeficit), Tokens: slices.Clone(r.tokens),
 		RefilledAt: slices.Clone(r.refilledAt), Arrivals: slices.Clone(r.arrivals), Orders: slices.Clone(r.orders),
-		HedgeTokens: r.hedgeTokens, ServedRate: r.servedRate, ServedAt: r.servedAt, Lateness: r.lateness, MeanWork: r.meanWork,
+		HedgeTokens: r.hedgeTokens, ServedRate: r.servedRate, ServedAt: r.servedAt, Lateness: delayShare(r.delay), MeanWork: r.meanWork,
 		RecentCalls: r.recentCalls, CalledAt: r.calledAt, OverdueShare: r.overdueShare, HomeFactor: r.homeFactor}
 	for _, c := range r.classes {
 		snap.Classes = append(snap.Classes, ClassSnapshot{c.mean, c.dev, c.work})
@@ -90,7 +90,7 @@
 			continue
 		}
 		saved := WorkerSnapshot{Name: w.host.Name, Since: w.host.Since, StartedAt: w.startedAt, Deficit: slices.Clone(w.deficit),
-			Window: w.window, Losses: w.losses, LossAt: w.lossAt, LatencyRatio: w.latencyRatio, ShrunkAt: w.shrunkAt,
+			Window: w.window, Losses: w.losses, LossAt: w.lossAt, LatencyRatio: delayShare(w.delay), ShrunkAt: w.shrunkAt,
 			FailedAt: w.failedAt, FullUntil: w.fullUntil, ReadyAt: w.readyAt, StoppedAt: w.stoppedAt,
 			ColdSends: sentTimes(w.coldSends)}
 		for _, h := range w.health {
@@ -195,15 +195,16 @@
 	r.heldDeficit, r.tokens, r.refilledAt = slices.Clone(snap.HeldDeficit), slices.Clone(snap.Tokens), slices.Clone(snap.RefilledAt)
 	r.arrivals, r.orders = slices.Clone(snap.Arrivals), slices.Clone(snap.Orders)
 	copy(r.unused.deficit, snap.DefaultDeficit)
-	r.hedgeTokens, r.servedRate, r.servedAt, r.lateness, r.meanWork =
-		snap.HedgeTokens, snap.ServedRate, snap.ServedAt, snap.Lateness, snap.MeanWork
+	r.hedgeTokens, r.servedRate, r.servedAt, r.delay, r.meanWork =
+		snap.HedgeTokens, snap.ServedRate, snap.ServedAt, delayOf(snap.Lateness), snap.MeanWork
+	r.delayedAt = now
 	r.recentCalls, r.calledAt, r.overdueShare, r.homeFactor = snap.RecentCalls, snap.CalledAt, snap.OverdueShare, snap.HomeFactor
 	for i, c := range snap.Classes {
-		r.classes[i] = classStat{c.Mean, c.Dev, c.Work}
+		r.classes[i] = restoreClass(c, r.delay, now)
 	}
 	for _, saved := range snap.Workers {
 		u := &usage{deficit: slices.Clone(saved.Deficit), window: saved.Window, losses: saved.Losses, lossAt: saved.LossAt,
-			latencyRatio: saved.LatencyRatio, shrunkAt: saved.ShrunkAt, failedAt: saved.FailedAt, fullUntil: saved.FullUntil,
+			delay: delayOf(saved.LatencyRatio), shrunkAt: saved.ShrunkAt, failedAt: saved.FailedAt, fullUntil: saved.FullUntil,
 			coldSends: meanSends(saved.ColdSends), health: make([]health, len(r.classes)),
 			evidence: evidence{readyAt: saved.ReadyAt, stoppedAt: saved.StoppedAt}}
 		for k := range u.health {
--- a/decide/zones_test.go
+++ b/decide/zones_test.go
@@ -26,6 +26,9 @@
 		f.advance(20 * time.Millisecond)
 		for ; handled < len(f.sent); handled++ { // some fail, some are rejected as full, some are never answered
 			s := f.sent[handled]
+			if s.at == f.now {
+				break // every answer takes 20 ms
+			}
 			if _, ended := f.ended[s.id]; ended || (s.id+uint64(s.attemptIndex))%5 == 0 {
 				continue
 			}
@@ -65,7 +68,7 @@
 		f := newFake(t, settings, 2)
 		f.warmUp(0, "f0")
 		w := f.router.ready[1]
-		f.router.lateness, w.warmInflight = reserveLatency*2, int(unreservedShare*w.window)+1
+		f.router.delay, f.router.delayedAt, w.warmInflight = busyDelay*2, f.now, int(unreservedShare*w.window)+1
 		if restrictedArrive {
 			f.router.restrictedAt = f.now - rateFadeTime/2
 		}
