Refuse a request when its caller's time is too short, alike before and after it was sent

Change: a request is refused when the time until its caller leaves is shorter than a call of its work takes: the mean of its class, by its hint; in an overload three deviations more, as a worker's time is lost where a call is late.

--- a/decide/attempts.go
+++ b/decide/attempts.go
@@ -34,19 +34,13 @@
 	}
 }
 
-// giveUpReason returns why a request without an attempt in flight should be answered now, or NotGivenUp.
-// Before the first attempt it expects a longer latency, so that most such requests are never sent.
+// giveUpReason returns why a request without an attempt in flight should be answered now, or NotGivenUp. Its
+// caller waits until the deadline, for a first attempt as for a further one.
 func (r *Router) giveUpReason(req *request) Reason {
-	c, aim := r.classes[req.class], ms(r.settings.Classes[req.class].Aim)
-	need := min(c.mean, aim/2) // at most half, or a slow period would refuse everything and never end
-	left := ms(req.deadline-r.now) - max(need, ms(2*sweepInterval))
-	if len(req.attempts) == 0 {
-		need = min(c.mean+giveUpDevs*c.dev, giveUpAimShare*aim)
-	}
 	switch {
 	case r.noLeases:
 		return ListOutdated
-	case left <= 0:
+	case ms(req.deadline-r.now) <= r.timeNeeded(req):
 		return NoTime
 	case len(req.attempts) >= r.settings.MaxAttempts:
 		return NoAttempts
@@ -54,8 +48,6 @@
 		return MayHaveRun
 	case len(req.zones) > 0 && r.index.CountIn(req.zones) == 0:
 		return NoZone
-	case ms(r.now-req.arrived)+need > aim:
-		return TooLate
 	}
 	return NotGivenUp
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -24,7 +24,6 @@
 	allowanceBurst  = 3   // seconds of a tenant's allowance that may be saved up
 	maxOverdueShare = 0.4 // with more of the warm calls overdue, copies are no longer assumed to be loaded
 	delayGain       = 0.3 // weight of an answer in the running delay of its worker
-	giveUpAimShare  = 0.85
 	hintWeight      = 0.7 // weight of a call's rough work hint against the mean of its class
 	workPerCall     = 0.5 // hinted work in flight that counts as one call, in multiples of the mean work
 
--- a/decide/reason.go
+++ b/decide/reason.go
@@ -7,11 +7,11 @@
 const (
 	NotGivenUp   Reason = iota
 	OverShare           // its tenant has used up its allowance, and the fleet is overloaded
-	NoTime              // even a warm call would end after its deadline
+	NoTime              // its caller's time is too short for a warm call of its work
 	NoAttempts          // it has had MaxAttempts attempts
 	MayHaveRun          // an attempt may have run, and its class does not allow another
 	NoZone              // no worker is listed in the zones to which it is restricted
-	TooLate             // even a warm call would end later than the aim of its class
+	TooLate             // the calls that wait ahead of it take its caller's time
 	ListOutdated        // the list has been silent for too long, and no worker has shown that it is not draining
 	ReasonCount         // number of reasons
 )
