Admit calls of all classes alike while a gateway comes back from a power loss

Change: a call for a loaded function is admitted while the rate allows one.

Test: AdmissionBoundsFirstLoadsAndTreatsClassesAlike demands of every call what its predecessor demanded of the class of highest worth. The bound on first loads and the end of the admission are checked as before.

How fast a fleet comes back without the order was not measured in this commit.

--- a/internal/fleet/admit.go
+++ b/internal/fleet/admit.go
@@ -19,7 +19,7 @@
 	if c.saved != nil {
 		gateways = max(gateways, c.saved.Alive)
 	}
-	c.admission = recover.NewAdmission(recover.AdmissionConfig{ClassWorth: c.classWorth, FormerRate: c.formerRate,
+	c.admission = recover.NewAdmission(recover.AdmissionConfig{FormerRate: c.formerRate,
 		FirstLoads: c.settings.FirstLoads, Gateways: gateways}, c.averageCapacity(), c.host.Now())
 	for fn := range c.peerState.LoadedCopies {
 		c.admission.MarkLoaded(fn)
@@ -74,11 +74,11 @@
 }
 
 // Admit reports whether a call is admitted, and if not, after what time the client should retry.
-func (c *Recovery) Admit(class int, function string) (bool, time.Duration) {
+func (c *Recovery) Admit(function string) (bool, time.Duration) {
 	if c.admission == nil || c.phases.Phase() == recover.Full {
 		return true, 0
 	}
-	return c.admission.Admit(c.host.Now(), class, function), refusalRetryAfter
+	return c.admission.Admit(c.host.Now(), function), refusalRetryAfter
 }
 
 // Observe records the outcome of a call.
--- a/internal/fleet/recover/admit.go
+++ b/internal/fleet/recover/admit.go
@@ -1,9 +1,7 @@
 package recover
 
 import (
-	"cmp"
 	"maps"
-	"slices"
 	"time"
 )
 
@@ -16,26 +14,22 @@
 	initialShare      = 0.5                    // part of the former rate that is admitted at first, even if all workers are cold
 	maxRateFactor     = 2.0                    // bound of the rate, relative to the former rate; the rate starts there if all workers are warm
 	burstWindow       = 300 * time.Millisecond // a burst may hold as many calls as the rate allows in this time
-	reserveShare      = 0.5                    // share of the burst that the class of lowest worth leaves to the others
 	firstLoadTimeout  = 3 * time.Second        // a first load without a result no longer counts as in flight after this time
 	minCleanSteps     = 2                      // steps in a row without rejections that end the limit, once the rate has reached the former rate
 )
 
 // AdmissionConfig holds what a gateway's admission after a start depends on.
 type AdmissionConfig struct {
-	ClassWorth []float64 // worth by class
-	FormerRate float64   // calls per second served before the start; 0 if not known, and then the rate is not limited
-	FirstLoads int       // first loads of functions that the model store can take from the whole fleet at once
-	Gateways   int       // gateways of the fleet that are available
+	FormerRate float64 // calls per second served before the start; 0 if not known, and then the rate is not limited
+	FirstLoads int     // first loads of functions that the model store can take from the whole fleet at once
+	Gateways   int     // gateways of the fleet that are available
 }
 
-// Admission limits the calls that are admitted while the gateway recovers. The admitted rate rises in steps, and classes of
-// lower worth are rejected first. The number of concurrent first loads is limited to this gateway's share of what the model
-// store can take.
+// Admission limits the calls that are admitted while the gateway recovers, of all classes alike. The admitted rate rises in steps. The
+// number of concurrent first loads is limited to this gateway's share of what the model store can take.
 type Admission struct {
 	config     AdmissionConfig
-	reserve    []float64 // by class, the share of the burst that it leaves to classes of higher worth
-	rate       float64   // admitted calls per second
+	rate       float64 // admitted calls per second
 	tokens     float64
 	refilledAt time.Duration
 	stepStart  time.Duration
@@ -53,12 +47,6 @@
 func NewAdmission(config AdmissionConfig, capacityShare float64, now time.Duration) *Admission {
 	a := &Admission{config: config, refilledAt: now, stepStart: now, loaded: map[string]bool{}, loading: map[string]time.Duration{}}
 	a.rate = config.FormerRate * max(initialShare, maxRateFactor*min(1, capacityShare))
-	order := slices.Clone(config.ClassWorth)
-	slices.SortFunc(order, func(x, y float64) int { return cmp.Compare(y, x) })
-	for _, worth := range config.ClassWorth {
-		rank := slices.Index(order, worth)
-		a.reserve = append(a.reserve, reserveShare*float64(rank)/float64(max(1, len(order)-1)))
-	}
 	a.tokens = a.maxTokens()
 	return a
 }
@@ -77,10 +65,9 @@
 	delete(a.loading, fn)
 }
 
-// Admit reports whether a call is admitted. If a copy of its function is loaded, the rate and the reserve of its class
-// decide. If no copy is known, the call needs a place among the first loads; further calls for a function whose first
+// Admit reports whether a call is admitted. If a copy of its function is loaded, the rate decides. If no copy is known, the call needs a place among the first loads; further calls for a function whose first
 // load is in flight are admitted too, and wait in the module for as long as it expects to serve them in time.
-func (a *Admission) Admit(now time.Duration, class int, fn string) bool {
+func (a *Admission) Admit(now time.Duration, fn string) bool {
 	if a.Done(now) {
 		return true
 	}
@@ -101,11 +88,7 @@
 	}
 	a.tokens = min(a.maxTokens(), a.tokens+a.rate*(now-a.refilledAt).Seconds())
 	a.refilledAt = now
-	reserved := 0.0
-	if class >= 0 && class < len(a.reserve) {
-		reserved = a.reserve[class] * a.maxTokens()
-	}
-	if a.tokens < 1+reserved {
+	if a.tokens < 1 {
 		a.rejected++
 		return false
 	}
--- a/internal/fleet/recover/phases_test.go
+++ b/internal/fleet/recover/phases_test.go
@@ -26,27 +26,26 @@
 	}
 }
 
-// Checks for any sequence of calls and outcomes that first loads in flight never exceed their limit, that the class of highest
-// worth is not rejected while the rate allows a call, and that an admission that is done stays done.
-func TestAdmissionBoundsFirstLoadsAndPrefersHighestWorth(t *testing.T) {
+// Checks for any sequence of calls and outcomes that first loads in flight never exceed their limit, that no call for a loaded
+// function is rejected while the rate allows one, whatever its class, and that an admission that is done stays done.
+func TestAdmissionBoundsFirstLoadsAndTreatsClassesAlike(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now, gateways := testTime, rapid.IntRange(1, 5).Draw(t, "gateways")
-		a := NewAdmission(AdmissionConfig{ClassWorth: []float64{1, 5}, FormerRate: float64(rapid.IntRange(0, 50).Draw(t, "former")),
+		a := NewAdmission(AdmissionConfig{FormerRate: float64(rapid.IntRange(0, 50).Draw(t, "former")),
 			FirstLoads: 6, Gateways: gateways}, rapid.Float64Range(0, 1).Draw(t, "bear"), now)
 		loading := map[string]time.Duration{}
 		done := false
 		for range 200 {
 			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond
 			fn := string(rune('a' + rapid.IntRange(0, 12).Draw(t, "fn")))
-			class := rapid.IntRange(0, 1).Draw(t, "class")
 			if done && !a.Done(now) {
 				t.Fatal("the admission was done and is limited again")
 			}
 			done = a.Done(now)
 			wasLoaded, tokens := a.loaded[fn], a.tokens
-			admitted := a.Admit(now, class, fn)
-			if !admitted && wasLoaded && class == 1 && tokens >= 1 {
-				t.Fatal("a call of the class of highest worth is rejected although a token is left")
+			admitted := a.Admit(now, fn)
+			if !admitted && wasLoaded && tokens >= 1 {
+				t.Fatal("a call is rejected although a token is left")
 			}
 			if admitted && !wasLoaded && !done {
 				if _, known := loading[fn]; !known {
--- a/internal/fleet/recovery.go
+++ b/internal/fleet/recovery.go
@@ -30,7 +30,6 @@
 	gateway       Gateway
 	settings      *Settings
 	dimensions    recover.Dimensions
-	classWorth    []float64    // indexed by class
 	stateFileBans []roster.Ban // bans from the gateway's state file
 
 	phases     *recover.PhaseTracker
@@ -50,11 +49,11 @@
 	unsent         int // broadcasts that could not be queued, and bans refused beyond the limit
 }
 
-// NewRecovery returns the part. classWorth is the worth of each class. stateFileBans are the bans of the gateway's state file;
+// NewRecovery returns the part. stateFileBans are the bans of the gateway's state file;
 // bans that the fleet knows take precedence over them.
-func NewRecovery(h *Host, gateway Gateway, settings *Settings, dimensions recover.Dimensions, classWorth []float64,
+func NewRecovery(h *Host, gateway Gateway, settings *Settings, dimensions recover.Dimensions,
 	stateFileBans []roster.Ban) *Recovery {
-	return &Recovery{host: h, gateway: gateway, settings: settings, dimensions: dimensions, classWorth: classWorth,
+	return &Recovery{host: h, gateway: gateway, settings: settings, dimensions: dimensions,
 		stateFileBans: stateFileBans, phases: recover.NewPhaseTracker(h.Now()), bans: recover.BanRecords{}, peerState: recover.NewPeerState(),
 		workers: core.MemberList{}, held: map[string]uint64{}}
 }
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -73,8 +73,7 @@
 	h.node.UseNetwork(&hostView{h.run.network, h.host})
 	settings := TargetSettings()
 	h.node.Add(func(host *fleet.Host) fleet.Part {
-		p := fleet.NewRecovery(host, noClients{}, s, recover.Dimensions{Classes: len(settings.Classes), Tenants: len(settings.Tenants)},
-			[]float64{1, 3}, nil)
+		p := fleet.NewRecovery(host, noClients{}, s, recover.Dimensions{Classes: len(settings.Classes), Tenants: len(settings.Tenants)}, nil)
 		p.Start(false)
 		return p
 	})
--- a/internal/lifecycle/fleet.go
+++ b/internal/lifecycle/fleet.go
@@ -28,14 +28,10 @@
 	}
 	settings, decideConf := *conf.Fleet, conf.Site.Decide
 	settings.ColdFrom, settings.ColdFor = decideConf.ColdFrom, decideConf.ColdFor
-	var classWorth []float64
-	for _, k := range decideConf.Classes {
-		classWorth = append(classWorth, k.Worth)
-	}
 	dimensions := recover.Dimensions{Classes: len(decideConf.Classes), Tenants: len(decideConf.Tenants)}
 	g.node = fleet.New(g.loop, &settings, conf.Name, decideConf.Zone, g.log.Named("fleet"))
 	g.node.Add(func(h *fleet.Host) fleet.Part {
-		g.recovery = fleet.NewRecovery(h, (*fleetGateway)(g), &settings, dimensions, classWorth, savedBans)
+		g.recovery = fleet.NewRecovery(h, (*fleetGateway)(g), &settings, dimensions, savedBans)
 		return g.recovery
 	})
 	g.addAgreement(conf)
@@ -141,7 +137,7 @@
 func (a *admissionGate) Submit(call core.Call) core.Ref {
 	ok, pause, why := true, time.Duration(0), ""
 	if a.gateway.recovers {
-		ok, pause = a.gateway.recovery.Admit(call.Class, call.Function)
+		ok, pause = a.gateway.recovery.Admit(call.Function)
 	}
 	if ok && a.gateway.agreement != nil {
 		pause, why = a.gateway.placeCall(&call)
--- a/tools/comeback/main.go
+++ b/tools/comeback/main.go
@@ -53,7 +53,7 @@
 func simulate(gateways int, seed uint64) (recovered time.Duration, updates float64, peakLoads int) {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	var admissions []*recover.Admission
-	config := recover.AdmissionConfig{ClassWorth: []float64{1, 3, 5}, FormerRate: callsPerSecond,
+	config := recover.AdmissionConfig{FormerRate: callsPerSecond,
 		FirstLoads: int(storeLoadsPerGateway * float64(gateways) / 2), Gateways: gateways}
 	for range gateways {
 		admissions = append(admissions, recover.NewAdmission(config, coldCapacity, 0))
@@ -89,7 +89,7 @@
 				function := int(min(rng.ExpFloat64()/4, 0.999) * float64(len(names)))
 				halfSecond := int(now / (500 * time.Millisecond))
 				offered[halfSecond]++
-				if !a.Admit(now, rng.IntN(3), names[function]) {
+				if !a.Admit(now, names[function]) {
 					continue
 				}
 				ok := loaded[function] && rng.Float64() < capacity
