Write no attempt whose caller's time ran out while expired ones were ended

What callers saw: nothing yet; workers could get a call with a budget of 1 ms whose caller had left 57 ms before.

Cause: conn.flush took the expired messages out of the outbox, ended their attempts, and wrote the rest. Ending them has decisions follow, which may take long and may queue further attempts; what expired meanwhile was written. Ruled out: the decision (there were 20 ms left then).

Change: expired messages are taken out until none is left (withdrawExpired). Each round removes some, so it ends.

The tests of workerlink and lifecycle pass.

--- a/internal/wire/workerlink/conn.go
+++ b/internal/wire/workerlink/conn.go
@@ -115,7 +115,7 @@
 	if c.ended || !c.ready || c.blocked {
 		return
 	}
-	c.endWithdrawn(c.outbox.removeMatching(c.pool.expired))
+	c.withdrawExpired()
 	if c.ended || c.outbox.empty() {
 		return
 	}
--- a/internal/wire/workerlink/send.go
+++ b/internal/wire/workerlink/send.go
@@ -38,6 +38,17 @@
 	return m.kind == callMessage && (call.Reply != nil && call.Reply.ClientGone() || m.call.Budget(p.loop) < time.Millisecond)
 }
 
+// withdrawExpired ends the messages that have expired since they were queued. That may take time in which others expire.
+func (c *conn) withdrawExpired() {
+	for !c.ended {
+		expired := c.outbox.removeMatching(c.pool.expired)
+		if len(expired) == 0 {
+			return
+		}
+		c.endWithdrawn(expired)
+	}
+}
+
 // connForCall returns the connection for a call under this id: one with fewer than preferredCallsPerConn calls, else a new one if there
 // are fewer than preferredConns, else any with a free stream, else a new one. Of several it takes the one with the most calls. It returns
 // nil if there is none and none can be dialled.
