Bound the queue of held calls by half of the places for client connections

What callers saw: with calls held for as long as their callers wait, held ones took all places of the front in an overload.

Cause: a held call keeps its client's connection, of which a gateway has a third of its descriptors. Ruled out: processor time (20 % of a core each).

Change: Settings.MaxHeld, half of those places. Beyond it the request whose caller has the most time left is refused, be it the new one or one that waits: that caller can come again.

--- a/decide/api.go
+++ b/decide/api.go
@@ -49,6 +49,7 @@
 	Zone          int           // zone of this gateway
 	Subscribe     bool          // the list is published only after Watch
 	MaxAttempts   int           // attempts per request
+	MaxHeld       int           // requests that may be held at once; 0: no limit but their callers' time
 	Parallel      bool          // several attempts of a request may be in flight at once
 	Cancelling    bool          // Retract may be used
 	Probing       bool          // Probe may be used
--- a/decide/caller_time_test.go
+++ b/decide/caller_time_test.go
@@ -143,3 +143,22 @@
 		t.Error("a call that has to begin before the held ones was refused")
 	}
 }
+
+// While no more requests may be held, the one whose caller has the most time left is refused, since that caller can come
+// again, be it the one that has just arrived or one that waits.
+func TestFullQueueRefusesTheCallerWithMostTimeLeft(t *testing.T) {
+	settings := testSettings()
+	settings.MaxHeld = 3
+	f := newFake(t, settings, 1)
+	f.warmUp(0, "fn")
+	f.router.ready[0].window = 0
+	var ids []uint64
+	for _, ttl := range []time.Duration{2 * sec, 4 * sec, 3 * sec, 3500 * time.Millisecond, sec} {
+		ids = append(ids, f.callWithTTL(0, "fn", ttl))
+	}
+	for i, want := range []string{"", "refuse", "", "refuse", ""} {
+		if f.ended[ids[i]] != want {
+			t.Errorf("request %d ended as %q, want %q", i, f.ended[ids[i]], want)
+		}
+	}
+}
--- a/decide/hold.go
+++ b/decide/hold.go
@@ -31,6 +31,9 @@
 	}
 	req.held, req.kind = true, r.kindOf(req)
 	r.held = slices.Insert(r.held, place, req)
+	if last := len(r.held) - 1; r.settings.MaxHeld > 0 && last >= r.settings.MaxHeld {
+		r.giveUp(r.held[last], TooLate) // its caller has the most time left to come again
+	}
 }
 
 // before reports whether a request leaves before a held one. What is restricted to zones comes first, since
--- a/decide/reason.go
+++ b/decide/reason.go
@@ -11,7 +11,7 @@
 	NoAttempts          // it has had MaxAttempts attempts
 	MayHaveRun          // an attempt may have run, and its class does not allow another
 	NoZone              // no worker is listed in the zones to which it is restricted
-	TooLate             // the calls that wait ahead of it take its caller's time
+	TooLate             // the calls that wait ahead of it take its caller's time, or fill the queue
 	ListOutdated        // the list has been silent for too long, and no worker has shown that it is not draining
 	ReasonCount         // number of reasons
 )
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -41,6 +41,10 @@
 // and 8 more for connections that are being closed.
 func (c *Config) clientSockets() int { return c.Sockets/3 + 8 }
 
+// maxHeldCalls returns how many calls may wait for a worker at most. Each takes the place of a client connection. The other places are
+// for calls at workers and for new clients: one that finds no place waits unseen, and is not even refused.
+func (c *Config) maxHeldCalls() int { return c.clientSockets() / 2 }
+
 // reservedSockets returns how many descriptors are reserved for the process itself and for operators.
 func (c *Config) reservedSockets() int {
 	if c.Operator == "" {
@@ -137,6 +141,7 @@
 	if c.Site, err = settings.ParseStrict(f.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	c.Site.Decide.MaxHeld = c.maxHeldCalls()
 	if c.LastEvent, c.KnownEvents, err = bulletin.ParseKnown(f.Known, c.Site); err != nil {
 		return nil, fmt.Errorf("known: %w", err)
 	}
--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -101,3 +101,15 @@
 		t.Error("a worker is mapped to the wrong link")
 	}
 }
+
+// Calls that wait for a worker take at most half of the places for client connections, so that in an overload new clients
+// find one and are answered. Else they wait unseen until their time is over.
+func TestHeldCallsLeavePlacesForNewClients(t *testing.T) {
+	c, err := ParseConfig([]byte(strings.NewReplacer("%BULLETIN%", "127.0.0.1:1", "%WORKER%", "127.0.0.1:2").Replace(configText)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if held, places := c.Site.Decide.MaxHeld, c.clientSockets(); held < 1 || held > places/2 {
+		t.Errorf("%d calls may be held with %d places for clients, want 1 to %d", held, places, places/2)
+	}
+}
