Tell refused clients when they may be served

Change: the pause is the time that what waits now needs to leave; for a tenant beyond its allowance the time until its next call; none where nothing waits and the caller's own time is too short. The core shortens it to max-retry-after-s, as before, and names none where the settings allow none.

Result: decide's tests pass.

--- a/decide/api.go
+++ b/decide/api.go
@@ -54,7 +54,7 @@
 	Cancelling    bool          // Retract may be used
 	Probing       bool          // Probe may be used
 	Peers         bool          // SendPeer may be used; not used: routers exchange no messages
-	MaxRetryAfter time.Duration // not used: asking refused clients to pause lost worth
+	MaxRetryAfter time.Duration // not used here: the gateway shortens longer pauses of refused clients to it
 	SendDelay     time.Duration // longest time from Route to the send, while a connection is set up
 
 	AnswerSlack  time.Duration // not used: requests are answered before their deadline
--- a/decide/attempts.go
+++ b/decide/attempts.go
@@ -113,7 +113,7 @@
 	c := r.settings.Classes[req.class]
 	if !req.mayHaveRun() || c.Effect == Safe ||
 		c.Effect == Keyed && c.KeyScope == AllWorkers {
-		r.gateway.Refuse(req.id, refusalPauses[why], why)
+		r.gateway.Refuse(req.id, r.refusalPause(req, why), why)
 	} else {
 		r.gateway.Fail(req.id, why)
 	}
--- a/decide/caller_time_test.go
+++ b/decide/caller_time_test.go
@@ -162,3 +162,43 @@
 		}
 	}
 }
+
+// A refused client is asked to stay away until what waits ahead of it has left, and no longer: without a queue, or where
+// its own time is too short in any case, it may come again at once.
+func TestRefusedClientIsToldWhenItMayBeServed(t *testing.T) {
+	f := newFake(t, testSettings(), 1)
+	f.warmUp(0, "fn")
+	for class := range f.router.classes {
+		f.knownLatency(class, 1000, 0)
+	}
+	if f.callWithTTL(0, "fn", 500*time.Millisecond); f.lastReason != NoTime || f.lastPause != 0 {
+		t.Errorf("refused for %v with a pause of %v, want %v and none, since nothing waits", f.lastReason, f.lastPause, NoTime)
+	}
+	f.router.ready[0].window = 2
+	for range 20 {
+		f.call(0, 0, "fn")
+	}
+	held := len(f.router.held)
+	if want := time.Duration(held) * 500 * time.Millisecond; f.lastReason != TooLate || f.lastPause < want-sec || f.lastPause > want+sec {
+		t.Errorf("refused for %v with a pause of %v, want %v and about the %v that %d calls need", f.lastReason, f.lastPause, TooLate,
+			want, held)
+	}
+}
+
+// A client of a tenant beyond its allowance is asked to stay away until the tenant's next call is due.
+func TestClientBeyondItsShareIsToldWhenItsNextCallIsDue(t *testing.T) {
+	settings := testSettings()
+	settings.Tenants[0].PerSec, settings.Gateways = 4, 2
+	f := newFake(t, settings, 1)
+	f.warmUp(0, "fn")
+	f.router.delay, f.router.delayedAt = fullDelay, f.now
+	for range 20 {
+		if id := f.call(0, 0, "fn"); f.ended[id] == "refuse" && f.lastReason == OverShare {
+			break
+		}
+	}
+	if f.lastReason != OverShare || f.lastPause <= 0 || f.lastPause > 250*time.Millisecond {
+		t.Errorf("refused for %v with a pause of %v, want %v and at most the 250ms between two calls of the tenant", f.lastReason,
+			f.lastPause, OverShare)
+	}
+}
--- a/decide/events.go
+++ b/decide/events.go
@@ -188,6 +188,16 @@
 	return hintWeight*work + (1-hintWeight)*c.work
 }
 
+// allowanceRate returns how many calls a second of a tenant this gateway takes in an overload.
+func (r *Router) allowanceRate(tenant int) float64 {
+	return r.settings.Tenants[tenant].PerSec * min(1, maxTenantSkew/float64(max(1, r.settings.Gateways)))
+}
+
+// allowanceDue returns how long it takes until a tenant that has used up its allowance has its next call.
+func (r *Router) allowanceDue(tenant int) time.Duration {
+	return time.Duration((1 - r.tokens[tenant]) / r.allowanceRate(tenant) * float64(time.Second))
+}
+
 // overAllowance reports whether a tenant has used up its allowance at this gateway; if not, it takes one
 // token of it. In an overload, requests over the allowance are refused at once. Since clients may stay with
 // one gateway, each gateway allows a tenant maxTenantSkew times its even share, but at most the whole
@@ -196,7 +206,7 @@
 	if tenant >= len(r.settings.Tenants) || r.settings.Tenants[tenant].PerSec <= 0 {
 		return false
 	}
-	rate := r.settings.Tenants[tenant].PerSec * min(1, maxTenantSkew/float64(max(1, r.settings.Gateways)))
+	rate := r.allowanceRate(tenant)
 	r.tokens[tenant] = min(rate*allowanceBurst, r.tokens[tenant]+rate*(r.now-r.refilledAt[tenant]).Seconds())
 	r.refilledAt[tenant] = r.now
 	if r.tokens[tenant] < 1 {
--- a/decide/hold.go
+++ b/decide/hold.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// refusalPause returns for how long the client of a refused request should stay away: until it may be served.
+// Where nothing tells that, it may come again at once.
+func (r *Router) refusalPause(req *request, why Reason) time.Duration {
+	switch why {
+	case ListOutdated:
+		return outdatedPause
+	case OverShare:
+		return r.allowanceDue(req.tenant)
+	case NoTime, TooLate: // what waits now has to leave first
+		return r.expectedWait(len(r.held))
+	}
+	return 0
+}
+
 // callKind is what the choice of a worker depends on, for a request that no attempt of its own binds.
 type callKind struct {
 	fn            *function
--- a/decide/lease.go
+++ b/decide/lease.go
@@ -14,12 +14,9 @@
 	maxStartLag     = 12 * time.Second       // longest time from a worker's start until the list publishes it
 	countInterval   = 250 * time.Millisecond // between counts of the workers that hold a lease
 	noticeInterval  = 5 * time.Second        // between log lines while the list is silent
+	outdatedPause   = 500 * time.Millisecond // for clients refused meanwhile; twice countInterval
 )
 
-// refusalPauses are the times for which refused clients are asked to pause, by the reason. For other reasons
-// they may retry at once, since pauses lost worth.
-var refusalPauses = map[Reason]time.Duration{ListOutdated: 500 * time.Millisecond}
-
 // leaseTracking is the state that the leases of all workers share.
 type leaseTracking struct {
 	listAsOf     time.Duration // everything that the list published until then has been received
