Refuse calls that were never sent when a process ends, in place of failing them

What callers saw: a call that still waited for a worker 0.4 s before SIGKILL was failed, so that its caller had to take it for one that may have run.

Cause: Core.FailAll ended all requests alike.

Change: requests without an attempt are refused there. The ends of requests that the module does not decide are in internal/core/finish.go; the rest of it is moved only.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -147,49 +147,6 @@
 	}
 }
 
-// abort closes a request that the module has not answered, notifies the module and withdraws the unwritten attempts.
-func (c *Core) abort(r *request, answer string) {
-	c.close(r, answer)
-	if answer != "gone" {
-		r.call.Reply.Failed(TimedOut)
-	}
-	c.handle(decide.ClientGone{ID: uint64(r.ref)})
-	c.withdrawUnwritten(r)
-}
-
-// withdrawUnwritten withdraws the attempts of an ended request that have not been written yet. It does so also at sites
-// without cancelling, where attempts that have been written run on.
-func (c *Core) withdrawUnwritten(r *request) {
-	for _, ref := range r.attempts {
-		if a, pending := c.attempts.Get(ref); pending && c.workers.WithdrawAttempt(a.host, ref) {
-			c.Ended(ref, AttemptResult{Outcome: decide.NotSent})
-		}
-	}
-}
-
-// expire fails a request that the module has not answered in time. It is the last safeguard for the rule that every request gets an
-// answer in time.
-func (c *Core) expire(r *request) {
-	c.log.Error("request left open past its deadline", zap.String("id", r.call.ID), zap.Int("attempts", len(r.attempts)))
-	c.abort(r, "failed")
-}
-
-// FailAll fails every request in flight, before the process ends.
-func (c *Core) FailAll() {
-	c.requests.Each(func(_ Ref, r *request) { c.abort(r, "failed") })
-}
-
-func (c *Core) close(r *request, answer string) {
-	c.loop.Cancel(r.timer)
-	c.requests.Free(r.ref)
-	delete(c.refsByID, r.call.ID)
-	c.Count(r.call.Class, answer)
-	if c.observe != nil {
-		c.observe(Record{Call: &r.call, Bytes: len(r.call.Body), Start: r.start, End: c.loop.Now(), Answer: answer,
-			Attempts: len(r.attempts), Host: r.lastHost})
-	}
-}
-
 // Ended handles the result of an attempt. A second result, or one that comes after the attempt was abandoned, finds no slot and is
 // dropped.
 func (c *Core) Ended(ref Ref, result AttemptResult) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -160,7 +160,7 @@
 	}
 }
 
-// FailAll, called before the process ends, fails every request in flight.
+// FailAll, called before the process ends, fails every request that was sent.
 func TestFailAll(t *testing.T) {
 	fx := newFixture(t)
 	r := fx.call(1, 3*time.Second)
