Keep delays finite where answers come within one reading of the clock

What callers saw: nothing; a class whose first 20 answers all took 0 s, as within one iteration of the loop, made the delay of its worker and of the gateway not a number (0/0), and every comparison with it false: no overload would have been seen any more.

Cause: classStat.record divides by the lowest latency without waiting, which was 0 then.

Change: a latency counts as a microsecond at least.

--- a/decide/health.go
+++ b/decide/health.go
@@ -58,7 +58,7 @@
 
 // learn records what the result of an attempt shows about the worker, the copy, the class and the overload.
 func (r *Router) learn(req *request, a *attempt, e Result) {
-	w, p, c, took := a.worker, a.placement, &r.classes[req.class], ms(e.Took)
+	w, p, c, took := a.worker, a.placement, &r.classes[req.class], ms(max(time.Microsecond, e.Took))
 	switch e.Outcome {
 	case Good:
 		r.countOvertaken(a)
--- a/decide/latency_test.go
+++ b/decide/latency_test.go
@@ -60,3 +60,16 @@
 		}
 	}
 }
+
+// Answers within one reading of the clock leave the delays finite, so that the router goes on comparing them.
+func TestAnswersInNoTimeLeaveDelaysFinite(t *testing.T) {
+	f := newFake(t, testSettings(), 1)
+	f.warmUp(0, "fn")
+	for range 2 * minLatencySamples {
+		f.call(0, 0, "fn")
+		f.reportResult(f.lastSend(), Good, FoundWarm)
+	}
+	if d := f.router.delay; math.IsNaN(d) || math.IsInf(d, 0) || math.IsNaN(f.router.ready[0].delay) {
+		t.Errorf("delays %v and %v after answers in no time, want finite ones", d, f.router.ready[0].delay)
+	}
+}
