Let tenants take turns in the length of the queue as well

What callers saw: nothing in service. On reading: since held calls wait for their callers' time, one tenant's long queue would have had the calls of others refused on arrival for the length of the whole queue, and in a full queue one tenant's calls with less time would have pushed out the others', although held calls leave by tenants in turn (DESIGN).

Cause: dispatch counted all held requests ahead, and a full queue refused the last of all.

Change: ahead of a request are those of its tenant, and as many turns of each other one. A full queue refuses the last request of the tenant that holds most of it.

Test: LongQueueOfOneTenantLeavesRoomForOthers, with and without a limit; each case is red with its half of the change taken out.

--- a/decide/caller_time_test.go
+++ b/decide/caller_time_test.go
@@ -163,6 +163,33 @@
 	}
 }
 
+// A tenant that fills the queue, even with calls that have to begin first, neither crowds out the calls of others nor has
+// them refused for the length of its queue: tenants take turns.
+func TestLongQueueOfOneTenantLeavesRoomForOthers(t *testing.T) {
+	for _, maxHeld := range []int{0, 5} {
+		settings := testSettings()
+		settings.MaxHeld = maxHeld
+		f := newFake(t, settings, 1)
+		f.warmUp(0, "fn")
+		f.router.ready[0].window = 2
+		for class := range f.router.classes {
+			f.knownLatency(class, 1000, 0)
+		}
+		for range 20 {
+			f.call(0, 0, "fn")
+		}
+		f.lastID++
+		f.handle(Arrival{ID: f.lastID, Tenant: 1, Function: "fn", TTL: 4 * sec, Lanes: 2})
+		other := f.lastID
+		for range 20 {
+			f.callWithTTL(0, "fn", 3*sec)
+		}
+		if f.ended[other] != "" {
+			t.Errorf("at most %d held: the only call of its tenant ended as %q behind the queue of another tenant", maxHeld, f.ended[other])
+		}
+	}
+}
+
 // A refused client is asked to stay away until what waits ahead of it has left, and no longer: without a queue, or where
 // its own time is too short in any case, it may come again at once.
 func TestRefusedClientIsToldWhenItMayBeServed(t *testing.T) {
--- a/decide/hold.go
+++ b/decide/hold.go
@@ -25,17 +25,52 @@
 			return
 		}
 	}
-	if r.now+r.expectedWait(place) > req.startBy { // it would wait for its whole time in vain
+	if r.now+r.expectedWait(r.turnsAhead(req, place)) > req.startBy { // it would wait for its time in vain
 		r.giveUp(req, TooLate)
 		return
 	}
 	req.held, req.kind = true, r.kindOf(req)
 	r.held = slices.Insert(r.held, place, req)
-	if last := len(r.held) - 1; r.settings.MaxHeld > 0 && last >= r.settings.MaxHeld {
-		r.giveUp(r.held[last], TooLate) // its caller has the most time left to come again
+	if r.settings.MaxHeld > 0 && len(r.held) > r.settings.MaxHeld {
+		r.giveUp(r.mostPatient(), TooLate)
 	}
 }
 
+// heldByTenant returns how many of some held requests are of each tenant.
+func (r *Router) heldByTenant(held []*request) []int {
+	counts := make([]int, len(r.heldDeficit))
+	for _, req := range held {
+		counts[req.tenant]++
+	}
+	return counts
+}
+
+// turnsAhead returns how many held requests leave before one that would be inserted at a place: those of its
+// tenant that stand ahead, and as many turns of each other tenant.
+func (r *Router) turnsAhead(req *request, place int) int {
+	own := r.heldByTenant(r.held[:place])[req.tenant]
+	ahead := own
+	for tenant, held := range r.heldByTenant(r.held) {
+		if tenant != req.tenant {
+			ahead += min(held, own+1)
+		}
+	}
+	return ahead
+}
+
+// mostPatient returns the last request, which has the most time left to come again, of the tenant with most
+// of the held requests. So no tenant can crowd out the others.
+func (r *Router) mostPatient() *request {
+	counts := r.heldByTenant(r.held)
+	most := slices.Index(counts, slices.Max(counts))
+	for _, req := range slices.Backward(r.held) {
+		if req.tenant == most {
+			return req
+		}
+	}
+	return nil // there is one, since the queue is full
+}
+
 // before reports whether a request leaves before a held one. What is restricted to zones comes first, since
 // all other calls may run where room is left. Otherwise it is the one that has to begin first, to be in time.
 func (req *request) before(held *request) bool {
