Take no call for overdue by the latency of a few first answers

What callers saw: nothing in service. Since the mean latency begins with the first answer, a first call of little work made the next one of much work overdue after tens of ms, and its worker was ejected for its class.

Test: FirstAnswersMakeNoCallOverdue failed without the change.

--- a/decide/latency.go
+++ b/decide/latency.go
@@ -21,7 +21,8 @@
 	unloadedMemory    = 10 * time.Minute // time over which the lowest level is forgotten
 	giveUpDevs        = 3                // in an overload a call needs time for mean + this many deviations
 
-	// Before its first answer a call is overdue after 1 s, the time-out of RFC 6298 before any measurement.
+	// Until a class has minLatencySamples answers, a call is not overdue before 1 s, the time-out of RFC 6298
+	// before any measurement.
 	initialMean, initialDev = 250, 150 // ms; with overdueDevs
 
 	initialLoadTime = 1000 // ms that a load is taken to last before any was seen, where calls do not tell it
@@ -123,6 +124,9 @@
 func (r *Router) overdueAfter(req *request, a *attempt) time.Duration {
 	c := r.classes[req.class]
 	wait := c.mean + overdueDevs*c.dev
+	if c.samples < minLatencySamples {
+		wait = max(wait, initialMean+overdueDevs*initialDev)
+	}
 	if !a.warm {
 		wait += slowLoadFactor * cmp.Or(req.loadHint, r.loadTime)
 	}
--- a/decide/latency_test.go
+++ b/decide/latency_test.go
@@ -73,3 +73,18 @@
 		t.Errorf("delays %v and %v after answers in no time, want finite ones", d, f.router.ready[0].delay)
 	}
 }
+
+// After a first answer to a call of little work, one of much work is not overdue for taking longer: its worker is well.
+func TestFirstAnswersMakeNoCallOverdue(t *testing.T) {
+	f := newFake(t, testSettings(), 2)
+	f.warmUp(0, "fn")
+	for _, c := range []struct{ work, took time.Duration }{{10 * time.Millisecond, 10 * time.Millisecond}, {300 * time.Millisecond, 600 * time.Millisecond}} {
+		f.lastID++
+		f.handle(Arrival{ID: f.lastID, Function: "fn", TTL: 4 * sec, Lanes: 2, Work: c.work})
+		f.advance(c.took)
+		if w := f.router.workers[f.lastSend().host]; w.health[0].ejectedUntil != 0 {
+			t.Errorf("ejected until %v for a call that took %v", w.health[0].ejectedUntil, c.took)
+		}
+		f.reportResult(f.lastSend(), Good, FoundWarm)
+	}
+}
