Give calls that load half of their caller's time before they are overdue

What callers saw: nothing in service; a load of 150 ms by its hint takes over 1.5 s while a store is crowded, and the call that waited for it was overdue after 1.3 s. Its worker was ejected for the class, and another began the same load.

Cause: put twice the hinted load time in the place of half of the class's deadline, which had covered that.

Change: the longer of twice the hint and half of the caller's time, so that another attempt has as long.

--- a/decide/latency.go
+++ b/decide/latency.go
@@ -120,7 +120,8 @@
 }
 
 // overdueAfter returns the latency from which on an attempt is overdue. One that may be waiting for a load
-// has the time of a slow load besides.
+// has the time of a slow load besides, or half of its caller's time: a crowded store takes far longer than
+// the hint tells, and another worker would only crowd it more.
 func (r *Router) overdueAfter(req *request, a *attempt) time.Duration {
 	c := r.classes[req.class]
 	wait := c.mean + overdueDevs*c.dev
@@ -128,7 +129,8 @@
 		wait = max(wait, initialMean+overdueDevs*initialDev)
 	}
 	if !a.warm {
-		wait += slowLoadFactor * cmp.Or(req.loadHint, r.loadTime)
+		slowLoad := slowLoadFactor * cmp.Or(req.loadHint, r.loadTime)
+		wait += max(slowLoad, ms(req.deadline-req.arrived)/2)
 	}
 	return time.Duration(wait * float64(time.Millisecond))
 }
--- a/decide/latency_test.go
+++ b/decide/latency_test.go
@@ -88,3 +88,15 @@
 		f.reportResult(f.lastSend(), Good, FoundWarm)
 	}
 }
+
+// While a crowded store takes far longer for loads than calls tell, workers that load are not ejected for the first half
+// of their callers' time: their calls would only begin the same loads elsewhere.
+func TestCrowdedStoreMakesNoLoadOverdueForHalfOfTheTime(t *testing.T) {
+	f := newFake(t, testSettings(), 4)
+	f.lastID++
+	f.handle(Arrival{ID: f.lastID, Function: "fn", TTL: 4 * sec, Lanes: 2, LoadTime: 150 * time.Millisecond})
+	f.advance(2500 * time.Millisecond)
+	if w := f.router.workers[f.lastSend().host]; w.health[0].ejectedUntil != 0 || len(f.sent) != 1 {
+		t.Errorf("ejected until %v after %d sends, want one send to a worker that is not ejected", w.health[0].ejectedUntil, len(f.sent))
+	}
+}
